Free an engine's slots when its side process is replaced

Cause: a killed side process cancels nothing, and its successor knows nothing of the requests, so the engine kept their slots and KV cache for good. Ruled out: a lost Close message; the engine's log shows no cancel at all. Conclusion: a side process resets its engine when it starts and after an engine was lost; the slot admits one side process, so nothing else is freed.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -19,7 +19,8 @@
     Then the answer is whole and the same
     And each token ran through every layer once, in order
     And the counter retries of peer_lost moved at an entry host
-    And the engines' slots are free
+    When the killed side process is replaced
+    Then the engines' slots are free
 
   # As above, but the first stage is lost: the prompt and the delivered tokens
   # are run again through the first layers only.
--- a/features/steps/pipeline.py
+++ b/features/steps/pipeline.py
@@ -16,6 +16,11 @@
     context.deployment.signal(context.victim, signal.SIGCONT)
 
 
+@when("the killed side process is replaced")
+def replace(context: Any) -> None:
+    context.deployment.start_side(context.victim)
+
+
 @then("an answer streamed now is whole and the same")
 def again(context: Any) -> None:
     with context.deployment.client() as client:
--- a/packages/daemon/src/hemlockhalld/process/engine.py
+++ b/packages/daemon/src/hemlockhalld/process/engine.py
@@ -5,8 +5,6 @@
 import httpx
 import msgspec
 
-HEALTH_TIMEOUT = 0.5
-
 
 class EngineError(Exception):
     """The engine did not answer; its KV cache must be taken for lost."""
@@ -67,9 +65,10 @@
 
 
 class Cancel(msgspec.Struct):
-    """Requests whose KV cache is not needed any more."""
+    """Requests whose KV cache is not needed any more, or all there are."""
 
     requests: list[str]
+    everything: bool = False
 
 
 class Engine:
@@ -98,13 +97,10 @@
         """Free the slots of requests."""
         await self._post("/v1/cancel", msgspec.json.encode(Cancel(requests)))
 
-    async def healthy(self) -> bool:
-        """Return whether the engine answers."""
-        try:
-            response = await self._client.get("/v1/load", timeout=HEALTH_TIMEOUT)
-        except httpx.HTTPError:
-            return False
-        return response.status_code == httpx.codes.OK
+    async def reset(self) -> None:
+        """Free all slots; raise :class:`EngineError` without an answer."""
+        cancel = Cancel([], everything=True)
+        await self._post("/v1/cancel", msgspec.json.encode(cancel))
 
     async def aclose(self) -> None:
         """Close the connections."""
--- a/packages/daemon/src/hemlockhalld/process/stages.py
+++ b/packages/daemon/src/hemlockhalld/process/stages.py
@@ -190,6 +190,7 @@
 
     async def run(self) -> None:
         """Step the engine for ever: all requests with work in one batch."""
+        await self._reset()
         while True:
             if not self._ready and not self._cancels:
                 await self._wake.wait()
@@ -199,6 +200,24 @@
             except EngineError as exc:
                 await self._engine_lost(exc)
 
+    async def _reset(self) -> None:
+        """Free what an earlier run of this process left in the engine.
+
+        A killed side process cancels nothing; its engine would hold slots
+        and KV cache for requests that were repaired elsewhere long ago. The
+        engine has one side process, so all that it holds is left over.
+        """
+        self.failing = True
+        while True:
+            try:
+                await self._engine.reset()
+                break
+            except EngineError as exc:
+                logger.warning("engine does not answer yet: {}", exc)
+                await anyio.sleep(HEALTH_INTERVAL)
+        self.failing = False
+        self.changed()
+
     async def _step(self) -> None:
         if self._cancels:
             cancels, self._cancels = self._cancels, []
@@ -355,10 +374,7 @@
             self._fail(stage, Retry.ENGINE_FAILED, stage.here.endpoint)
             self._drop(stage)
         self.changed()
-        while not await self._engine.healthy():
-            await anyio.sleep(HEALTH_INTERVAL)
-        self.failing = False
-        self.changed()
+        await self._reset()
 
 
 def _size(stage: Stage) -> int:
--- a/packages/standins/src/hemlockhall_standins/engine.py
+++ b/packages/standins/src/hemlockhall_standins/engine.py
@@ -197,7 +197,10 @@
             self.events.append({"kind": "removed", "block": old})
 
     async def _cancel(self, req: Request) -> Response:
-        for request in req.json()["requests"]:
+        asked = req.json()
+        if asked["everything"]:
+            self.caches.clear()
+        for request in asked["requests"]:
             self.caches.pop(request, None)
         return Response({})
 
