Prove bookings at most once; read back after one lost answer

Cause: the store's client began its pause with the first lost answer, so the read-back that settles a claim was refused by the client itself, and the booking with it: store_unavailable though the store was up. Ruled out: a second insert, since the tally was 0 and the claim row stood. Conclusion: a lost answer alone does not pause the client, the second in a row does; refused calls (429, 503, no connection) still pause it at once.

--- /dev/null
+++ b/features/steps/booking.py
@@ -0,0 +1,234 @@
+"""Steps of the booking feature."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import httpx
+from behave import given, then, use_step_matcher, when
+
+from hemlockhall_standins.deployment import Deployment, EndpointPlan, wait_for
+
+PATH = "/services/booking/bookings"
+COME_BACK = (409, 503)
+
+use_step_matcher("parse")
+
+
+@given("a deployment of a booking service with {count:d} endpoints")
+def start(context: Any, count: int) -> None:
+    plans = []
+    for number in range(1, count + 1):
+        name = f"loft-{number}"
+        plans.append(EndpointPlan(name, "plain", "attica-1", service="booking"))
+    deployment = Deployment(plans, call_deadline_s=4.0)
+    context.deployment = context.stack.enter_context(deployment)
+
+
+def book(
+    deployment: Deployment, what: str, key: str | None, entry: int = 1
+) -> httpx.Response:
+    """Book once; return the answer."""
+    headers = {} if key is None else {"idempotency-key": key}
+    with deployment.client(f"entry-{entry}") as client:
+        return client.post(PATH, json={"what": what}, headers=headers)
+
+
+def tally(deployment: Deployment, what: str) -> int:
+    """Return how often a booking took effect, over all endpoints."""
+    count = 0
+    for name in deployment.nodes:
+        count += deployment.tally(name)["what"].count({"what": what})
+    return count
+
+
+@when('"{what}" is booked with key "{key}" at entry host {entry:d}')
+def book_at(context: Any, what: str, key: str, entry: int) -> None:
+    context.before = getattr(context, "answer", None)
+    context.answer = book(context.deployment, what, key, entry)
+
+
+@when('"{what}" is booked without a key')
+def book_keyless(context: Any, what: str) -> None:
+    context.answer = book(context.deployment, what, None)
+
+
+@when('"{what}" is booked with key "{key}" until it is taken')
+def book_until(context: Any, what: str, key: str) -> None:
+    book_until_taken(context, what, key, 1)
+
+
+@when('"{what}" is booked with key "{key}" at entry host {entry:d} until it is taken')
+def book_until_taken(context: Any, what: str, key: str, entry: int) -> None:
+    for _ in range(20):
+        context.answer = book(context.deployment, what, key, entry)
+        if context.answer.status_code not in COME_BACK:
+            break
+        time.sleep(float(context.answer.headers["retry-after"]))
+    assert context.answer.status_code == 201, context.answer.text
+
+
+@when('"{what}" is booked with key "{key}" until it is taken or in progress')
+def book_until_known(context: Any, what: str, key: str) -> None:
+    for _ in range(20):
+        context.answer = book(context.deployment, what, key)
+        if context.answer.status_code != 503:
+            break
+        time.sleep(float(context.answer.headers["retry-after"]))
+    assert context.answer.status_code in (201, 409), context.answer.text
+
+
+@when("{count:d} bookings are sent at the same moment, each to both entry hosts")
+def book_race(context: Any, count: int) -> None:
+    barrier = threading.Barrier(2 * count)
+
+    def send(number: int) -> httpx.Response:
+        barrier.wait()
+        name = f"b{number // 2}"
+        return book(context.deployment, name, f"key-{name}", 1 + number % 2)
+
+    with ThreadPoolExecutor(2 * count) as pool:
+        answers = list(pool.map(send, range(2 * count)))
+    context.pairs = [answers[n : n + 2] for n in range(0, 2 * count, 2)]
+
+
+@then("each took effect once and all answers to a key are the same")
+def race_result(context: Any) -> None:
+    for number, pair in enumerate(context.pairs):
+        statuses = sorted(answer.status_code for answer in pair)
+        assert statuses in ([201, 201], [201, 409]), [a.text for a in pair]
+        if statuses == [201, 201]:
+            assert pair[0].content == pair[1].content
+        assert tally(context.deployment, f"b{number}") == 1
+
+
+@given("the table service loses its next {count:d} answers")
+def lose(context: Any, count: int) -> None:
+    context.deployment.fault("table", lose_answers=count)
+
+
+@given("the table service loses its next answer and is down from then on")
+def lose_and_down(context: Any) -> None:
+    context.deployment.fault("table", lose_answers=1, down_after_loss=True)
+
+
+@when("the table service is up again")
+def table_up(context: Any) -> None:
+    context.deployment.fault("table", down=False, down_after_loss=False)
+
+
+@given("the table service takes {seconds:g} seconds for an answer")
+def table_slow(context: Any, seconds: float) -> None:
+    context.deployment.fault("table", delay_s=seconds)
+
+
+@when("the table service answers at once again")
+def table_fast(context: Any) -> None:
+    context.deployment.fault("table", delay_s=0.0)
+
+
+@given("the service takes {seconds:g} seconds for an answer")
+def service_slow(context: Any, seconds: float) -> None:
+    for name in context.deployment.nodes:
+        context.deployment.fault(name, answer_delay_s=seconds)
+
+
+def send_and(context: Any, what: str, key: str, act: Any) -> None:
+    """Book in a thread, and act once a side process has the booking."""
+    deployment: Deployment = context.deployment
+
+    def holder() -> str:
+        for name in deployment.nodes:
+            if deployment.status(name)["in_flight"]:
+                return name
+        return ""
+
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(book, deployment, what, key)
+        context.holder = wait_for(holder, "a side process with the booking")
+        act()
+        try:
+            context.answer = fut.result()
+        except httpx.HTTPError as exc:
+            context.cut = exc
+
+
+def started(deployment: Deployment, what: str) -> bool:
+    """Return whether the service has begun a booking."""
+    return tally(deployment, what) > 0
+
+
+@when('"{what}" is sent with key "{key}" and the side process that has it is killed')
+def kill_holder(context: Any, what: str, key: str) -> None:
+    def act() -> None:
+        wait_for(lambda: started(context.deployment, what), "the booking to begin")
+        context.deployment.kill(context.holder)
+
+    send_and(context, what, key, act)
+
+
+@when('"{what}" is sent with key "{key}" and the side process that has it is frozen')
+def freeze_holder(context: Any, what: str, key: str) -> None:
+    def act() -> None:
+        context.deployment.signal(context.holder, signal.SIGSTOP)
+
+    send_and(context, what, key, act)
+
+
+@when("the frozen side process is resumed")
+def resume_holder(context: Any) -> None:
+    context.deployment.signal(context.holder, signal.SIGCONT)
+
+
+@when('"{what}" is sent with key "{key}" and entry host {entry:d} is killed')
+def kill_entry(context: Any, what: str, key: str, entry: int) -> None:
+    def act() -> None:
+        context.deployment.kill(f"entry-{entry}")
+
+    send_and(context, what, key, act)
+
+
+@when("the side process is replaced")
+def replace_holder(context: Any) -> None:
+    context.deployment.start_side(context.holder)
+
+
+@then("the answer has status {status:d}")
+def has_status(context: Any, status: int) -> None:
+    answer = context.answer
+    assert answer.status_code == status, f"{answer.status_code} {answer.text}"
+
+
+@then("it is the same answer as before")
+def same_as_before(context: Any) -> None:
+    assert context.answer.status_code == context.before.status_code
+    assert context.answer.content == context.before.content
+
+
+@then('the refusal is {reason} with ran "{ran}"')
+def is_refusal(context: Any, reason: str, ran: str) -> None:
+    answer = context.answer
+    assert answer.headers["content-type"] == "application/problem+json", answer.text
+    body = answer.json()
+    assert (body["reason"], body["ran"]) == (reason, ran), body
+
+
+@then("it says when to come back")
+def says_when(context: Any) -> None:
+    assert float(context.answer.headers["retry-after"]) > 0
+
+
+@then('the tally of "{what}" is {count:d}')
+def tally_is(context: Any, what: str, count: int) -> None:
+    found = tally(context.deployment, what)
+    assert found == count, f"{what} took effect {found} times"
+
+
+@then('the tally of "{what}" is at most {count:d}')
+def tally_at_most(context: Any, what: str, count: int) -> None:
+    found = tally(context.deployment, what)
+    assert found <= count, f"{what} took effect {found} times"
--- a/packages/core/src/hemlockhall_core/process/table.py
+++ b/packages/core/src/hemlockhall_core/process/table.py
@@ -78,6 +78,7 @@
 
     until: float = 0.0
     length: float = MIN_PAUSE
+    lost: int = 0
 
     def check(self) -> None:
         """Raise :class:`StoreUnavailableError` before the deadline."""
@@ -86,6 +87,15 @@
             msg = "the store failed a moment ago and is left alone for now"
             raise StoreUnavailableError(msg, left)
 
+    def answer_lost(self) -> None:
+        """Begin a pause with the second lost answer in a row.
+
+        After the first one the caller has to read back what was written.
+        """
+        self.lost += 1
+        if self.lost > 1:
+            self.failed()
+
     def failed(self) -> float:
         """Start or lengthen the pause; return its seconds."""
         length = self.length * random.uniform(0.5, 1.0)
@@ -97,6 +107,7 @@
         """End the pause."""
         self.until = 0.0
         self.length = MIN_PAUSE
+        self.lost = 0
 
 
 class Store:
@@ -121,7 +132,7 @@
             raise StoreUnavailableError(f"no connection: {exc}", pause) from exc
         except httpx.HTTPError as exc:
             self._count("unknown")
-            self._pause.failed()
+            self._pause.answer_lost()
             raise StoreUnknownError(f"no answer: {exc!r}") from exc
         if response.status_code in (429, 503):
             self._count("unavailable")
@@ -130,7 +141,7 @@
             raise StoreUnavailableError(msg, pause)
         if response.status_code >= 500:
             self._count("unknown")
-            self._pause.failed()
+            self._pause.answer_lost()
             raise StoreUnknownError(f"the store answered {response.status_code}")
         self._count("answered")
         self._pause.worked()
--- a/packages/standins/src/hemlockhall_standins/web.py
+++ b/packages/standins/src/hemlockhall_standins/web.py
@@ -54,12 +54,16 @@
     """The faults that every stand-in has, set by ``POST /faults``.
 
     ``delay_s`` is waited before each answer; ``down`` answers 503 to all;
-    ``lose_answers`` is a count of answers that are lost after the work.
+    ``lose_answers`` is a count of answers that are lost after the work, and
+    ``down_after_loss`` sets ``down`` with the last of them.
+    ``answer_delay_s`` is waited after the work.
     """
 
     delay_s: float = 0.0
     down: bool = False
     lose_answers: int = 0
+    down_after_loss: bool = False
+    answer_delay_s: float = 0.0
 
 
 class App:
@@ -129,8 +133,11 @@
                 response = await handler(req)
             except Fault as exc:
                 return exc.response
+            if self.faults.answer_delay_s:
+                await anyio.sleep(self.faults.answer_delay_s)
             if self.faults.lose_answers > 0 and req.method != "GET":
                 self.faults.lose_answers -= 1
+                self.faults.down |= self.faults.down_after_loss
                 return Response({"error": "answer lost"}, 504)
             return response
         return Response({"error": "no such path"}, 404)
