Tell entry hosts of an accepted version; advertise another link address

Cause: a version accepted just before the store goes down was known to nobody but the operator's command, so it could not come into force until the store was back. The command now brings it to the entry hosts it is told of. Also: link.advertise for hosts that are reached at another address than they listen on, and a stand-in for a network path between two processes.

--- a/packages/cli/src/hemlockhall_cli/main.py
+++ b/packages/cli/src/hemlockhall_cli/main.py
@@ -12,13 +12,15 @@
 import anyio
 import click
 import httpx
+import msgspec
 
+from hemlockhall_core.connection.frame import DocumentText, SectionRef, SectionText
 from hemlockhall_core.process.error import PlatformError
 from hemlockhall_core.process.table import Objects, Table
 from hemlockhall_core.version.document import validate
 from hemlockhall_core.version.error import DocumentError, SubmitError
 from hemlockhall_core.version.repository import Repository
-from hemlockhall_core.version.text import join, split
+from hemlockhall_core.version.text import digest, join, split
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -29,6 +31,7 @@
 BASE_LINE = "# hemlockhall version {}"
 BASE_PATTERN = re.compile(r"^# hemlockhall version (\d+)$", re.MULTILINE)
 WATCH_INTERVAL = 0.5
+TELL_TIMEOUT = 2.0
 
 TABLE = click.option("--table", envvar="HEMLOCKHALL_TABLE", required=True)
 OBJECTS = click.option("--objects", envvar="HEMLOCKHALL_OBJECTS", required=True)
@@ -68,8 +71,21 @@
 @click.option("--base", type=int, help="Version that the text was edited from.")
 @click.option("--who", default=getpass.getuser, help="Who submits.")
 @click.option("--revision", default="", help="Your own version control's revision.")
+@click.option(
+    "--entry",
+    "entries",
+    envvar="HEMLOCKHALL_ENTRIES",
+    multiple=True,
+    help="Administrative URL of an entry host to tell at once; may be repeated.",
+)
 def submit(
-    path: Path, table: str, objects: str, base: int | None, who: str, revision: str
+    path: Path,
+    table: str,
+    objects: str,
+    base: int | None,
+    who: str,
+    revision: str,
+    entries: tuple[str, ...],
 ) -> None:
     """Make the document in PATH the accepted one."""
     text = path.read_text()
@@ -80,6 +96,7 @@
         return await repository.submit(text, base, who, revision)
 
     accepted = _with_repository(table, objects, run)
+    _tell(entries, accepted, split(text))
     names = ", ".join(accepted.changed) or "nothing"
     click.echo(f"version {accepted.version} accepted; changed: {names}")
 
@@ -184,6 +201,22 @@
     click.echo(f"{name} is draining")
 
 
+def _tell(entries: tuple[str, ...], accepted: Accepted, texts: dict[str, str]) -> None:
+    """Bring an accepted version to the entry hosts.
+
+    They poll the table service for it as well; when that goes down right
+    after the acceptance, this is the only way they learn of the version.
+    """
+    refs = [SectionRef(name, found) for name, found in accepted.digests.items()]
+    sections = [SectionText(n, digest(t), t) for n, t in texts.items()]
+    offer = msgspec.json.encode(DocumentText(accepted.version, refs, sections))
+    for url in entries:
+        try:
+            httpx.post(f"{url}/document", content=offer, timeout=TELL_TIMEOUT)
+        except httpx.HTTPError as exc:
+            click.echo(f"{url}: not told: {exc}", err=True)
+
+
 def _base(text: str) -> int:
     found = BASE_PATTERN.search(text)
     return int(found.group(1)) if found else 0
--- a/packages/core/src/hemlockhall_core/connection/link.py
+++ b/packages/core/src/hemlockhall_core/connection/link.py
@@ -56,8 +56,10 @@
     ----------
     name : str
         Name of this process, unique in the deployment.
+    listen : str
+        ``IP:port`` to listen on.
     address : str
-        ``IP:port`` to listen on and to be answered at.
+        ``IP:port`` that others reach this process at.
     handler : Handler
         Receives messages and the news of peers.
     metrics : Metrics
@@ -69,6 +71,7 @@
     def __init__(
         self,
         name: str,
+        listen: str,
         address: str,
         handler: Handler,
         metrics: Metrics,
@@ -76,6 +79,7 @@
     ) -> None:
         self.name = name
         self.address = address
+        self._listen = listen
         self.boot = secrets.randbits(62) + 1
         self.timing = timing
         self.peers: dict[str, Peer] = {}
@@ -88,10 +92,10 @@
         """Receive until cancelled; raise :class:`LinkError` on a taken address."""
         try:
             self._sock = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
-            self._sock.listen(f"tcp://{self.address}")
+            self._sock.listen(f"tcp://{self._listen}")
         except pynng.NNGException as exc:
             msg = (
-                f"cannot listen on {self.address}: {exc}; set link.address to a "
+                f"cannot listen on {self._listen}: {exc}; set link.address to a "
                 "free address of this host"
             )
             raise LinkError(msg) from exc
--- a/packages/core/src/hemlockhall_core/process/setting.py
+++ b/packages/core/src/hemlockhall_core/process/setting.py
@@ -38,9 +38,13 @@
 
 
 class LinkSection(Section):
-    """Where other processes reach this one, and how patient it is with them."""
+    """Where this process listens, and how patient it is with others.
+
+    ``advertise`` is where the others reach it, if that is another address.
+    """
 
     address: Address
+    advertise: Address | None = None
     heartbeat_s: Seconds = 0.3
     renew_s: Seconds = 0.7
     dead_s: Seconds = 1.6
--- a/packages/core/src/hemlockhall_core/version/repository.py
+++ b/packages/core/src/hemlockhall_core/version/repository.py
@@ -60,6 +60,7 @@
     version: int
     changed: list[str]
     tries: int
+    digests: dict[str, str]
 
 
 def history_key(version: int) -> str:
@@ -128,9 +129,9 @@
             if name in mine:
                 await self._objects.write(digest(mine[name]), mine[name])
         for tries in range(1, MAX_TRIES + 1):
-            version = await self._try(submit, mine, old, changed, who, revision)
-            if version is not None:
-                return Accepted(version, changed, tries)
+            new = await self._try(submit, mine, old, changed, who, revision)
+            if new is not None:
+                return Accepted(new.version, changed, tries, new.digests)
             # Others' edits of other sections keep winning the race for the
             # head. Random back-off that does not grow with the tries lets a
             # submitter that lost often win as likely as a new one.
@@ -146,7 +147,7 @@
         changed: list[str],
         who: str,
         note: str,
-    ) -> int | None:
+    ) -> Revision | None:
         row = await self._table.read(HEAD)
         head = msgspec.convert(row.value, Revision) if row else EMPTY
         await self._check_conflict(mine, old, head, changed)
@@ -156,7 +157,7 @@
             if name in mine:
                 digests[name] = digest(mine[name])
         if digests == head.digests:
-            return head.version
+            return head
         await self._check_merged(mine, digests, changed)
         when = datetime.now(UTC).isoformat(timespec="milliseconds")
         new = Revision(head.version + 1, digests, submit, who, when, note)
@@ -173,9 +174,9 @@
             return None
         except (StoreUnknownError, StoreUnavailableError):
             return await self._settle(submit, new.version)
-        return new.version
+        return new
 
-    async def _settle(self, submit: str, version: int) -> int | None:
+    async def _settle(self, submit: str, version: int) -> Revision | None:
         """Find out whether a submission with a lost answer took effect.
 
         The history row of the version that it aimed at tells: it holds this
@@ -193,7 +194,7 @@
             if row is None:
                 return None
             found = msgspec.convert(row.value, Revision)
-            return version if found.submit == submit else None
+            return found if found.submit == submit else None
         msg = (
             "the store did not say whether the submission took effect; look for "
             f"version {version} in 'hemlockhall history' before submitting again"
--- a/packages/daemon/src/hemlockhalld/process/admin.py
+++ b/packages/daemon/src/hemlockhalld/process/admin.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from hemlockhall_core.connection.frame import DocumentText
+
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from hemlockhall_core.process.metric import Metrics
 
 Scope = dict[str, Any]
-Receive = "Callable[[], Awaitable[dict[str, Any]]]"
-Send = "Callable[[dict[str, Any]], Awaitable[None]]"
 
 
 class PeerStatus(msgspec.Struct):
@@ -41,6 +40,22 @@
     counters: dict[str, float]
 
 
+class Administered(Protocol):
+    """What the administrative interface needs of its process."""
+
+    def not_ready(self) -> str:
+        """Return why no requests are taken, or an empty text."""
+
+    def status(self) -> Status:
+        """Return what ``/status`` shows."""
+
+    def drain(self, name: str) -> bool:
+        """Drain this process or an endpoint; return whether it is known."""
+
+    def offer(self, document: DocumentText) -> None:
+        """Adopt an accepted version, if it is higher."""
+
+
 class Admin:
     """ASGI application of ``/livez``, ``/readyz``, ``/metrics``, ``/status``.
 
@@ -48,25 +63,13 @@
     ----------
     metrics : Metrics
         Counters to export.
-    ready : callable
-        Returns why the process takes no requests, or an empty text.
-    status : callable
-        Returns the status.
-    drain : callable
-        Acts on ``POST /drain/NAME``; returns whether the name is known.
+    process : Administered
+        The process that this is the interface of.
     """
 
-    def __init__(
-        self,
-        metrics: Metrics,
-        ready: Callable[[], str],
-        status: Callable[[], Status],
-        drain: Callable[[str], bool],
-    ) -> None:
+    def __init__(self, metrics: Metrics, process: Administered) -> None:
         self._metrics = metrics
-        self._ready = ready
-        self._status = status
-        self._drain = drain
+        self._process = process
 
     async def __call__(self, scope: Scope, receive: Any, send: Any) -> None:
         """Answer one request."""
@@ -77,20 +80,37 @@
         if path == "/livez":
             await respond(send, 200, b"alive\n")
         elif path == "/readyz":
-            why = self._ready()
+            why = self._process.not_ready()
             await respond(send, 503 if why else 200, (why or "ready").encode())
         elif path == "/metrics":
             await respond(send, 200, self._metrics.text(), "text/plain; version=0.0.4")
         elif path == "/status":
-            body = msgspec.json.encode(self._status())
+            body = msgspec.json.encode(self._process.status())
             await respond(send, 200, body, "application/json")
         elif method == "POST" and path.startswith("/drain/"):
-            known = self._drain(path.removeprefix("/drain/"))
+            known = self._process.drain(path.removeprefix("/drain/"))
             text = b"draining\n" if known else b"no such endpoint in the document\n"
             await respond(send, 202 if known else 404, text)
+        elif method == "POST" and path == "/document":
+            await self._document(receive, send)
         else:
             await respond(send, 404, b"no such path\n")
 
+    async def _document(self, receive: Any, send: Any) -> None:
+        body = b""
+        more = True
+        while more:
+            event = await receive()
+            body += event.get("body", b"")
+            more = event.get("more_body", False)
+        try:
+            offer = msgspec.json.decode(body, type=DocumentText)
+        except msgspec.MsgspecError as exc:
+            await respond(send, 400, f"not a document: {exc}\n".encode())
+            return
+        self._process.offer(offer)
+        await respond(send, 202, b"taken\n")
+
 
 async def lifespan(receive: Any, send: Any) -> None:
     """Answer the server's start and stop events."""
--- a/packages/daemon/src/hemlockhalld/process/base.py
+++ b/packages/daemon/src/hemlockhalld/process/base.py
@@ -50,8 +50,9 @@
         self.holder = Holder(wanted, self.metrics, self.adopted)
         section = settings.link
         timing = Timing(section.heartbeat_s, section.renew_s, section.dead_s)
-        name, address = settings.process.name, section.address
-        self.link = Link(name, address, self, self.metrics, timing)
+        address = section.advertise or section.address
+        name = settings.process.name
+        self.link = Link(name, section.address, address, self, self.metrics, timing)
         self.group: anyio.abc.TaskGroup | None = None
         self.servers: anyio.abc.TaskGroup | None = None
         self.ended = anyio.Event()
@@ -83,6 +84,10 @@
         while self.in_flight():
             await anyio.sleep(LEAVE_POLL)
 
+    def offer(self, document: DocumentText) -> None:
+        """Adopt an accepted version that an operator's command brings."""
+        self.holder.take(document)
+
     def drain(self, name: str) -> bool:
         """Act on an order to drain ``name``."""
         if name != self.link.name:
@@ -157,7 +162,7 @@
     async def _serve(self, servers: anyio.abc.TaskGroup) -> None:
         """Serve until drained; servers end by their own event, in order."""
         self.servers = servers
-        app = Admin(self.metrics, self.not_ready, self.status, self.drain)
+        app = Admin(self.metrics, self)
         address = self.admin_address()
         servers.start_soon(serve_http, app, address, ADMIN_GRACE, self.ended.wait)
         await self.work()
--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -103,6 +103,7 @@
     retain_bytes: int = 8_388_608
     leave_notice_s: float = 0.3
     rate: int = 10_000
+    proxied: tuple[str, ...] = ()
     nodes: dict[str, Node] = field(default_factory=dict)
     urls: dict[str, str] = field(default_factory=dict)
     admin_urls: dict[str, str] = field(default_factory=dict)
@@ -131,8 +132,11 @@
         self._start_platform()
         for plan in self.plans:
             self._plan_node(plan)
-        for name in [f"entry-{n + 1}" for n in range(self.entries)]:
-            self._plan_entry(name)
+        names = [f"entry-{n + 1}" for n in range(self.entries)]
+        for name, address in zip(names, free_addresses(len(names)), strict=True):
+            self._links[name] = address
+        for name in names:
+            self._plan_entry(name, [other for other in names if other != name])
         for node in self.nodes.values():
             self.start_back_end(node.plan.name)
             self.start_side(node.plan.name)
@@ -161,36 +165,45 @@
             self._wait_listening(self._links[name], name)
 
     def _plan_node(self, plan: EndpointPlan) -> None:
-        link, back_end, admin = free_addresses(3)
+        link, back_end, admin, listen = free_addresses(4)
         path = self.folder / f"{plan.name}.toml"
+        proxy = plan.name in self.proxied
         self.nodes[plan.name] = Node(plan, link, back_end, admin, path)
+        if proxy:
+            self._start_proxy(plan.name, link, listen)
         kind = "service" if plan.service else "engine"
         path.write_text(
-            self._common(plan.name, plan.data_centre, link)
+            self._common(plan.name, plan.data_centre, listen if proxy else link, link)
             + f'[side]\nback_end = "http://{back_end}"\nadmin = "{admin}"\n'
             + f'kind = "{kind}"\nstep_timeout_s = 2.0\n'
             + f"retain_bytes = {self.retain_bytes}\n"
         )
 
-    def _plan_entry(self, name: str) -> None:
-        link, listen, admin = free_addresses(3)
+    def _plan_entry(self, name: str, others: list[str]) -> None:
+        listen, admin = free_addresses(2)
         seeds = ""
-        for other in self.urls:
+        for other in others:
             seeds += f'[[seeds]]\nname = "{other}"\naddress = "{self._links[other]}"\n'
-        self._links[name] = link
         self.urls[name] = f"http://{listen}"
         self.admin_urls[name] = f"http://{admin}"
         (self.folder / f"{name}.toml").write_text(
-            self._common(name, "attica-1", link)
+            self._common(name, "attica-1", self._links[name])
             + f'[entry]\nlisten = "{listen}"\nadmin = "{admin}"\n'
             + f"leave_notice_s = {self.leave_notice_s}\npoll_s = 0.5\n"
             + seeds
         )
 
-    def _common(self, name: str, data_centre: str, link: str) -> str:
+    def _start_proxy(self, name: str, listen: str, target: str) -> None:
+        (admin,) = free_addresses(1)
+        args = ("--listen", listen, "--target", target, "--admin", admin)
+        self._links[f"{name}/link"] = admin
+        self._run(f"{name}/link", "hemlockstand", "link", *args)
+        self._wait_listening(admin, f"link of {name}")
+
+    def _common(self, name: str, data_centre: str, listen: str, link: str = "") -> str:
         return (
             f'[process]\nname = "{name}"\ndata_centre = "{data_centre}"\n'
-            f'[link]\naddress = "{link}"\n'
+            f'[link]\naddress = "{listen}"\nadvertise = "{link or listen}"\n'
             f'[platform]\ntable = "{self.platform("table")}"\n'
             f'objects = "{self.platform("objects")}"\n'
             f'hosts = "{self.platform("hosts")}"\n'
@@ -365,6 +378,11 @@
             url = self.platform(name)
         httpx.post(f"{url}/faults", json=faults).raise_for_status()
 
+    def silence(self, name: str) -> int:
+        """Make the present connections to an endpoint silent for good."""
+        url = self.platform(f"{name}/link")
+        return httpx.post(f"{url}/silence").json()["silent"]
+
     def client(self, entry: str = "entry-1", key: str = API_KEY) -> httpx.Client:
         """Return a caller's client of one entry host."""
         headers = {"authorization": f"Bearer {key}"}
--- a/packages/standins/src/hemlockhall_standins/main.py
+++ b/packages/standins/src/hemlockhall_standins/main.py
@@ -5,6 +5,7 @@
 import click
 
 from hemlockhall_standins.engine import Engine, EngineFaults
+from hemlockhall_standins.link import Link
 from hemlockhall_standins.service import Service
 from hemlockhall_standins.storage import hosts_app, objects_app, weights_app
 from hemlockhall_standins.table import Table
@@ -68,5 +69,14 @@
     run(Engine(first, last, faults).app(), listen)
 
 
+@main.command()
+@LISTEN
+@click.option("--target", required=True, help="IP:port to pass connections to.")
+@click.option("--admin", required=True, help="IP:port of the faults' interface.")
+def link(listen: str, target: str, admin: str) -> None:
+    """Run a TCP link whose connections can go silent or be cut."""
+    Link(listen, target).run(admin)
+
+
 if __name__ == "__main__":
     main()
--- a/packages/standins/src/hemlockhall_standins/table.py
+++ b/packages/standins/src/hemlockhall_standins/table.py
@@ -11,10 +11,14 @@
 
 @dataclass
 class TableFaults(Faults):
-    """Limits in calls a second; beyond them the answer is 429."""
+    """Limits in calls a second; beyond them the answer is 429.
+
+    With ``stale``, reads show the rows as they were when it was set.
+    """
 
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
+    stale: bool = False
 
 
 @dataclass
@@ -45,6 +49,7 @@
         self._reads = Bucket(2000.0)
         self._writes = Bucket(400.0)
         self._clock = 0
+        self._snapshot: dict[str, tuple[Any, int]] | None = None
 
     def app(self) -> App:
         """Return the HTTP interface."""
@@ -60,13 +65,22 @@
             self.tally["limited"] += 1
             raise Fault(Response({"error": "rate"}, 429, {"retry-after": "1"}))
 
+    def _shown(self) -> dict[str, tuple[Any, int]]:
+        if not self.faults.stale:
+            self._snapshot = None
+            return self.rows
+        if self._snapshot is None:
+            self._snapshot = dict(self.rows)
+        return self._snapshot
+
     async def _read(self, req: Request) -> Response:
         self._limit(self._reads, self.faults.reads_per_s)
         self.tally["reads"] += 1
         key = req.groups[0]
-        if key not in self.rows:
+        rows = self._shown()
+        if key not in rows:
             return Response({"error": "no row"}, 404)
-        value, version = self.rows[key]
+        value, version = rows[key]
         return Response({"key": key, "value": value, "version": version})
 
     async def _scan(self, req: Request) -> Response:
