--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PY ?= python3
 BIN := .venv/bin
 PACKAGES := core daemon cli standins
+JOBS ?= 3
 STAMP := .venv/.ready
 
 .PHONY: setup demo demo-stay test lint format
@@ -29,4 +30,4 @@
 
 test: setup
 	$(BIN)/pytest -q tests
-	$(BIN)/behave --no-capture features
+	ls features/*.feature | xargs -P $(JOBS) -n 1 $(BIN)/behave
--- a/packages/daemon/src/hemlockhalld/process/admin.py
+++ b/packages/daemon/src/hemlockhalld/process/admin.py
@@ -11,7 +11,6 @@
 from hemlockhall_core.connection.frame import DocumentText
 
 if TYPE_CHECKING:
-
     from hemlockhall_core.process.metric import Metrics
 
 Scope = dict[str, Any]
--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import os
+import secrets
 import shutil
 import signal
 import socket
@@ -28,14 +29,24 @@
 POLL = 0.05
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return addresses on loopback whose ports the kernel chose."""
+def new_host() -> str:
+    """Return a loopback address that no other deployment is likely to use.
+
+    Outgoing connections take their ports on 127.0.0.1, so a port that was
+    free on another loopback address is still free when a process binds it.
+    """
+    parts = [str(1 + secrets.randbelow(254)) for _ in range(3)]
+    return ".".join(["127", *parts])
+
+
+def free_addresses(host: str, count: int) -> list[str]:
+    """Return addresses on a loopback host whose ports the kernel chose."""
     with ExitStack() as stack:
         addresses = []
         for _ in range(count):
             sock = stack.enter_context(socket.socket())
-            sock.bind(("127.0.0.1", 0))
-            addresses.append(f"127.0.0.1:{sock.getsockname()[1]}")
+            sock.bind((host, 0))
+            addresses.append(f"{host}:{sock.getsockname()[1]}")
         return addresses
 
 
@@ -113,6 +124,8 @@
     def __post_init__(self) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="hemlockhall-"))
         self._bin = Path(sys.executable).parent
+        self._host = new_host()
+        self._used: set[str] = set()
 
     def __enter__(self) -> Deployment:
         """Start everything and wait until requests can be served."""
@@ -133,7 +146,7 @@
         for plan in self.plans:
             self._plan_node(plan)
         names = [f"entry-{n + 1}" for n in range(self.entries)]
-        for name, address in zip(names, free_addresses(len(names)), strict=True):
+        for name, address in zip(names, self._addresses(len(names)), strict=True):
             self._links[name] = address
         for name in names:
             self._plan_entry(name, [other for other in names if other != name])
@@ -155,9 +168,19 @@
             process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def _addresses(self, count: int) -> list[str]:
+        """Return addresses that this deployment has not used yet."""
+        found: list[str] = []
+        while len(found) < count:
+            for address in free_addresses(self._host, count - len(found)):
+                if address not in self._used:
+                    self._used.add(address)
+                    found.append(address)
+        return found
+
     def _start_platform(self) -> None:
         names = ("table", "objects", "hosts")
-        addresses = free_addresses(len(names))
+        addresses = self._addresses(len(names))
         for name, address in zip(names, addresses, strict=True):
             self._links[name] = address
             self._run(name, "hemlockstand", name, "--listen", address)
@@ -165,45 +188,51 @@
             self._wait_listening(self._links[name], name)
 
     def _plan_node(self, plan: EndpointPlan) -> None:
-        link, back_end, admin, listen = free_addresses(4)
+        link, back_end, admin, listen = self._addresses(4)
         path = self.folder / f"{plan.name}.toml"
-        proxy = plan.name in self.proxied
         self.nodes[plan.name] = Node(plan, link, back_end, admin, path)
-        if proxy:
+        if plan.name in self.proxied:
             self._start_proxy(plan.name, link, listen)
+        else:
+            listen = link
         kind = "service" if plan.service else "engine"
         path.write_text(
-            self._common(plan.name, plan.data_centre, listen if proxy else link, link)
+            self._common(plan.name, plan.data_centre, listen, link)
             + f'[side]\nback_end = "http://{back_end}"\nadmin = "{admin}"\n'
             + f'kind = "{kind}"\nstep_timeout_s = 2.0\n'
             + f"retain_bytes = {self.retain_bytes}\n"
         )
 
     def _plan_entry(self, name: str, others: list[str]) -> None:
-        listen, admin = free_addresses(2)
+        listen, admin, behind = self._addresses(3)
+        link = self._links[name]
+        if name in self.proxied:
+            self._start_proxy(name, link, behind)
+        else:
+            behind = link
         seeds = ""
         for other in others:
             seeds += f'[[seeds]]\nname = "{other}"\naddress = "{self._links[other]}"\n'
         self.urls[name] = f"http://{listen}"
         self.admin_urls[name] = f"http://{admin}"
         (self.folder / f"{name}.toml").write_text(
-            self._common(name, "attica-1", self._links[name])
+            self._common(name, "attica-1", behind, link)
             + f'[entry]\nlisten = "{listen}"\nadmin = "{admin}"\n'
             + f"leave_notice_s = {self.leave_notice_s}\npoll_s = 0.5\n"
             + seeds
         )
 
     def _start_proxy(self, name: str, listen: str, target: str) -> None:
-        (admin,) = free_addresses(1)
+        (admin,) = self._addresses(1)
         args = ("--listen", listen, "--target", target, "--admin", admin)
         self._links[f"{name}/link"] = admin
         self._run(f"{name}/link", "hemlockstand", "link", *args)
         self._wait_listening(admin, f"link of {name}")
 
-    def _common(self, name: str, data_centre: str, listen: str, link: str = "") -> str:
+    def _common(self, name: str, data_centre: str, listen: str, link: str) -> str:
         return (
             f'[process]\nname = "{name}"\ndata_centre = "{data_centre}"\n'
-            f'[link]\naddress = "{listen}"\nadvertise = "{link or listen}"\n'
+            f'[link]\naddress = "{listen}"\nadvertise = "{link}"\n'
             f'[platform]\ntable = "{self.platform("table")}"\n'
             f'objects = "{self.platform("objects")}"\n'
             f'hosts = "{self.platform("hosts")}"\n'
@@ -305,7 +334,13 @@
 
     def wait_ready(self, name: str) -> None:
         """Wait until an entry host sees every started endpoint."""
-        wait_for(lambda: answers(f"{self.urls[name]}/readyz"), f"{name} ready")
+
+        def ready() -> bool:
+            if not self.running(name):
+                raise RuntimeError(f"{name} ended:\n{self.log(name)}")
+            return answers(f"{self.urls[name]}/readyz")
+
+        wait_for(ready, f"{name} ready")
         running = {n for n in self.nodes if self.running(n)}
 
         def sees_all() -> bool:
@@ -411,7 +446,6 @@
     "Deployment",
     "EndpointPlan",
     "answers",
-    "free_addresses",
     "two_pipelines",
     "wait_for",
 ]
--- a/packages/standins/src/hemlockhall_standins/table.py
+++ b/packages/standins/src/hemlockhall_standins/table.py
@@ -13,12 +13,14 @@
 class TableFaults(Faults):
     """Limits in calls a second; beyond them the answer is 429.
 
-    With ``stale``, reads show the rows as they were when it was set.
+    With ``stale``, reads show the rows as they were when it was set. With
+    ``down_after_write`` the service goes down with its next write.
     """
 
     writes_per_s: float = 400.0
     reads_per_s: float = 2000.0
     stale: bool = False
+    down_after_write: bool = False
 
 
 @dataclass
@@ -105,6 +107,7 @@
             return Response({"conflicts": conflicts}, 409)
         self.tally["writes"] += 1
         self._clock += 1
+        self.faults.down |= self.faults.down_after_write
         for put in asked["puts"]:
             self.rows[put["key"]] = (put["value"], self._clock)
         for key in asked["deletes"]:
