--- a/features/steps/booking.py
+++ b/features/steps/booking.py
@@ -41,8 +41,9 @@
 def tally(deployment: Deployment, what: str) -> int:
     """Return how often a booking took effect, over all endpoints."""
     count = 0
-    for name in deployment.nodes:
-        count += deployment.tally(name)["what"].count({"what": what})
+    for name, node in deployment.nodes.items():
+        if node.plan.service:
+            count += deployment.tally(name)["what"].count({"what": what})
     return count
 
 
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable
 from typing import Any
 
 from behave import given, step, then, when
@@ -26,16 +27,21 @@
     assert context.calm.done
 
 
-@when("the same answer is streamed and at token {at:d} {what}")
-def hurt_answer(context: Any, at: int, what: str) -> None:
-    deployment: Deployment = context.deployment
-
+@when(
+    "the same answer is streamed and at token {at:d} {what} of stage {stage:d} {does}"
+)
+def hurt_answer(context: Any, at: int, what: str, stage: int, does: str) -> None:
     def act() -> None:
-        context.victim = fault(deployment, what)
+        context.victim = fault(context.deployment, what, stage)
+
+    stream_with(context, {at: act})
 
-    with deployment.client() as client:
+
+def stream_with(context: Any, at: dict[int, Callable[[], None]]) -> None:
+    """Stream the answer again, with something done at some tokens."""
+    with context.deployment.client() as client:
         body = ask(PROMPT, context.calm.tokens, stream=True)
-        context.hurt = read_stream(client, body, {at: act})
+        context.hurt = read_stream(client, body, at)
 
 
 def used(deployment: Deployment, stage: int) -> str:
@@ -47,15 +53,14 @@
     raise AssertionError(f"no endpoint of stage {stage} has a request")
 
 
-def fault(deployment: Deployment, what: str) -> str:
+def fault(deployment: Deployment, what: str, stage: int) -> str:
     """Bring a failure about, named as the features name it."""
-    stage = int(what.split("stage ")[1].split()[0])
     victim = used(deployment, stage)
-    if what.startswith("the side process of"):
+    if what == "the side process":
         deployment.kill(victim)
-    elif what.startswith("the engine of"):
+    elif what == "the engine":
         deployment.kill(f"{victim}/back-end")
-    elif what.startswith("the frozen side process of"):
+    elif what == "the frozen side process":
         deployment.signal(victim, signal.SIGSTOP)
     else:
         raise AssertionError(f"unknown fault: {what}")
