--- a/packages/standins/src/hemlockhall_standins/caller.py
+++ b/packages/standins/src/hemlockhall_standins/caller.py
@@ -43,6 +43,32 @@
     }
 
 
+def prompt_text(prompt: str) -> str:
+    """Return what the model gets of a chat with one message."""
+    return f"user: {prompt}\nassistant:"
+
+
+async def read_stream_async(
+    client: httpx.AsyncClient, url: str, body: dict[str, Any]
+) -> Streamed:
+    """Return an answer, streamed or whole as the body asks for it."""
+    streamed = Streamed()
+    path = f"{url}/v1/chat/completions"
+    async with client.stream("POST", path, json=body) as response:
+        if response.status_code != 200:
+            streamed.error = json.loads(await response.aread())
+        elif not body["stream"]:
+            answer = json.loads(await response.aread())
+            streamed.text = answer["choices"][0]["message"]["content"]
+            streamed.tokens = answer["usage"]["completion_tokens"]
+            streamed.done = True
+        else:
+            async for line in response.aiter_lines():
+                if line.startswith("data: "):
+                    _take(streamed, line.removeprefix("data: "))
+    return streamed
+
+
 def read_stream(
     client: httpx.Client,
     body: dict[str, Any],
@@ -80,5 +106,7 @@
 __all__ = [
     "Streamed",
     "ask",
+    "prompt_text",
     "read_stream",
+    "read_stream_async",
 ]
--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -70,6 +70,118 @@
         return False
 
 
+class Processes:
+    """Processes on a loopback host of their own, ended together."""
+
+    def __init__(self) -> None:
+        self.folder = Path(tempfile.mkdtemp(prefix="hemlockhall-"))
+        self._bin = Path(sys.executable).parent
+        self._host = new_host()
+        self._used: set[str] = set()
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+
+    def addresses(self, count: int) -> list[str]:
+        """Return addresses that these processes have not used yet."""
+        found: list[str] = []
+        while len(found) < count:
+            for address in free_addresses(self._host, count - len(found)):
+                if address not in self._used:
+                    self._used.add(address)
+                    found.append(address)
+        return found
+
+    def run(self, name: str, program: str, *args: str) -> None:
+        """Start a program of this project."""
+        with self._log_path(name).open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [self._bin / program, *args], stdout=log, stderr=log
+            )
+
+    def wait_listening(self, address: str, what: str) -> None:
+        """Wait until something listens there."""
+        host, port = address.split(":")
+
+        def listening() -> bool:
+            with socket.socket() as sock:
+                return sock.connect_ex((host, int(port))) == 0
+
+        wait_for(listening, f"{what} to listen")
+
+    def running(self, name: str) -> bool:
+        """Return whether a process is there."""
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process; an endpoint's engine is NAME/back-end."""
+        self._processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        self._processes[name].kill()
+        self._processes[name].wait()
+
+    def exit_code(self, name: str, timeout: float = 30.0) -> int:
+        """Wait for a process to end; return its exit code."""
+        return self._processes[name].wait(timeout)
+
+    def pid(self, name: str) -> int:
+        """Return a process id."""
+        return self._processes[name].pid
+
+    def log(self, name: str) -> str:
+        """Return what a process logged."""
+        return self._log_path(name).read_text()
+
+    def stop(self) -> None:
+        """Kill all processes and remove their files."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _log_path(self, name: str) -> Path:
+        return self.folder / f"{name.replace('/', '-')}.log"
+
+
+class Platform:
+    """The stand-ins of the platform alone."""
+
+    NAMES = ("table", "objects", "hosts")
+
+    def __init__(self, processes: Processes | None = None) -> None:
+        self.processes = processes or Processes()
+        self._at: dict[str, str] = {}
+
+    def __enter__(self) -> Platform:
+        """Start the stand-ins."""
+        self.start()
+        return self
+
+    def __exit__(self, *args: object) -> None:
+        """Kill them."""
+        self.processes.stop()
+
+    def start(self) -> None:
+        """Start the stand-ins and wait until they listen."""
+        addresses = self.processes.addresses(len(self.NAMES))
+        for name, address in zip(self.NAMES, addresses, strict=True):
+            self._at[name] = address
+            self.processes.run(name, "hemlockstand", name, "--listen", address)
+        for name, address in self._at.items():
+            self.processes.wait_listening(address, name)
+
+    def url(self, name: str) -> str:
+        """Return the URL of a stand-in."""
+        return f"http://{self._at[name]}"
+
+    def fault(self, name: str, **faults: Any) -> None:
+        """Switch faults of a stand-in."""
+        httpx.post(f"{self.url(name)}/faults", json=faults).raise_for_status()
+
+
 @dataclass
 class EndpointPlan:
     """An endpoint to be started: an engine with layers, or a service."""
@@ -94,7 +206,7 @@
 
 
 @dataclass
-class Deployment:
+class Deployment(Processes):
     """Starts, kills and stops the processes of one deployment.
 
     Parameters
@@ -119,13 +231,10 @@
     urls: dict[str, str] = field(default_factory=dict)
     admin_urls: dict[str, str] = field(default_factory=dict)
     _links: dict[str, str] = field(default_factory=dict)
-    _processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.folder = Path(tempfile.mkdtemp(prefix="hemlockhall-"))
-        self._bin = Path(sys.executable).parent
-        self._host = new_host()
-        self._used: set[str] = set()
+        super().__init__()
+        self._platform = Platform(self)
 
     def __enter__(self) -> Deployment:
         """Start everything and wait until requests can be served."""
@@ -142,11 +251,11 @@
 
     def start(self) -> None:
         """Start the stand-ins, submit the document, start the system."""
-        self._start_platform()
+        self._platform.start()
         for plan in self.plans:
             self._plan_node(plan)
         names = [f"entry-{n + 1}" for n in range(self.entries)]
-        for name, address in zip(names, self._addresses(len(names)), strict=True):
+        for name, address in zip(names, self.addresses(len(names)), strict=True):
             self._links[name] = address
         for name in names:
             self._plan_entry(name, [other for other in names if other != name])
@@ -159,36 +268,8 @@
         for name in self.urls:
             self.wait_ready(name)
 
-    def stop(self) -> None:
-        """Kill all processes and remove the settings."""
-        for process in self._processes.values():
-            if process.poll() is None:
-                process.kill()
-        for process in self._processes.values():
-            process.wait()
-        shutil.rmtree(self.folder, ignore_errors=True)
-
-    def _addresses(self, count: int) -> list[str]:
-        """Return addresses that this deployment has not used yet."""
-        found: list[str] = []
-        while len(found) < count:
-            for address in free_addresses(self._host, count - len(found)):
-                if address not in self._used:
-                    self._used.add(address)
-                    found.append(address)
-        return found
-
-    def _start_platform(self) -> None:
-        names = ("table", "objects", "hosts")
-        addresses = self._addresses(len(names))
-        for name, address in zip(names, addresses, strict=True):
-            self._links[name] = address
-            self._run(name, "hemlockstand", name, "--listen", address)
-        for name in names:
-            self._wait_listening(self._links[name], name)
-
     def _plan_node(self, plan: EndpointPlan) -> None:
-        link, back_end, admin, listen = self._addresses(4)
+        link, back_end, admin, listen = self.addresses(4)
         path = self.folder / f"{plan.name}.toml"
         self.nodes[plan.name] = Node(plan, link, back_end, admin, path)
         if plan.name in self.proxied:
@@ -204,7 +285,7 @@
         )
 
     def _plan_entry(self, name: str, others: list[str]) -> None:
-        listen, admin, behind = self._addresses(3)
+        listen, admin, behind = self.addresses(3)
         link = self._links[name]
         if name in self.proxied:
             self._start_proxy(name, link, behind)
@@ -223,11 +304,11 @@
         )
 
     def _start_proxy(self, name: str, listen: str, target: str) -> None:
-        (admin,) = self._addresses(1)
+        (admin,) = self.addresses(1)
         args = ("--listen", listen, "--target", target, "--admin", admin)
         self._links[f"{name}/link"] = admin
-        self._run(f"{name}/link", "hemlockstand", "link", *args)
-        self._wait_listening(admin, f"link of {name}")
+        self.run(f"{name}/link", "hemlockstand", "link", *args)
+        self.wait_listening(admin, f"link of {name}")
 
     def _common(self, name: str, data_centre: str, listen: str, link: str) -> str:
         return (
@@ -239,7 +320,9 @@
         )
 
     def platform(self, name: str) -> str:
-        """Return the URL of a stand-in of the platform."""
+        """Return the URL of a stand-in of the platform, or of a path's faults."""
+        if name in Platform.NAMES:
+            return self._platform.url(name)
         return f"http://{self._links[name]}"
 
     def document(self, leave_out: tuple[str, ...] = ()) -> str:
@@ -319,18 +402,18 @@
             speed = ("--step-s", str(self.step_s))
             speed += ("--token-layer-s", str(self.token_layer_s))
             args = ("engine", *listen, *layers, *speed)
-        self._run(f"{name}/back-end", "hemlockstand", *args)
-        self._wait_listening(node.back_end, name)
+        self.run(f"{name}/back-end", "hemlockstand", *args)
+        self.wait_listening(node.back_end, name)
 
     def start_side(self, name: str) -> None:
         """Start the side process of an endpoint."""
         path = str(self.nodes[name].settings)
-        self._run(name, "hemlockhalld", "side", "--settings", path)
+        self.run(name, "hemlockhalld", "side", "--settings", path)
 
     def start_entry(self, name: str) -> None:
         """Start an entry host."""
         path = str(self.folder / f"{name}.toml")
-        self._run(name, "hemlockhalld", "entry", "--settings", path)
+        self.run(name, "hemlockhalld", "entry", "--settings", path)
 
     def wait_ready(self, name: str) -> None:
         """Wait until an entry host sees every started endpoint."""
@@ -350,47 +433,6 @@
 
         wait_for(sees_all, f"{name} sees {sorted(running)}")
 
-    def _wait_listening(self, address: str, what: str) -> None:
-        host, port = address.split(":")
-
-        def listening() -> bool:
-            with socket.socket() as sock:
-                return sock.connect_ex((host, int(port))) == 0
-
-        wait_for(listening, f"{what} to listen")
-
-    def _run(self, name: str, program: str, *args: str) -> None:
-        log = (self.folder / f"{name.replace('/', '-')}.log").open("ab")
-        self._processes[name] = subprocess.Popen(
-            [self._bin / program, *args], stdout=log, stderr=log
-        )
-
-    def running(self, name: str) -> bool:
-        """Return whether a process is there."""
-        process = self._processes.get(name)
-        return process is not None and process.poll() is None
-
-    def signal(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to a process; an endpoint's engine is NAME/back-end."""
-        self._processes[name].send_signal(number)
-
-    def kill(self, name: str) -> None:
-        """Kill a process and wait for its end."""
-        self._processes[name].kill()
-        self._processes[name].wait()
-
-    def exit_code(self, name: str, timeout: float = 30.0) -> int:
-        """Wait for a process to end; return its exit code."""
-        return self._processes[name].wait(timeout)
-
-    def pid(self, name: str) -> int:
-        """Return a process id."""
-        return self._processes[name].pid
-
-    def log(self, name: str) -> str:
-        """Return what a process logged."""
-        return (self.folder / f"{name.replace('/', '-')}.log").read_text()
-
     def status(self, name: str) -> dict[str, Any]:
         """Return what ``/status`` of an entry host or endpoint shows."""
         url = self.admin_urls.get(name) or f"http://{self.nodes[name].admin}"
@@ -445,6 +487,8 @@
     "MODEL",
     "Deployment",
     "EndpointPlan",
+    "Platform",
+    "Processes",
     "answers",
     "two_pipelines",
     "wait_for",
--- a/packages/standins/src/hemlockhall_standins/engine.py
+++ b/packages/standins/src/hemlockhall_standins/engine.py
@@ -252,6 +252,23 @@
         )
 
 
+def reference_answer(text: str, max_tokens: int, layers: int, seed: int = 0) -> str:
+    """Return the model's answer, computed by one loop without any stages."""
+    adapter = hash_text("")
+    inputs = [token + adapter for token in tokenise(text)]
+    state = [0] * layers
+    answer = ""
+    for count in range(1, max_tokens + 1):
+        for value in inputs:
+            state, value = run_layers(state, value, 0, layers)
+        token = (value + seed) % VOCABULARY
+        answer += word(token)
+        if token == STOP_TOKEN or count == max_tokens:
+            break
+        inputs = [token]
+    return answer
+
+
 def _pack(value: int) -> str:
     return base64.b64encode(value.to_bytes(8, "big")).decode()
 
@@ -263,6 +280,7 @@
 __all__ = [
     "Engine",
     "EngineFaults",
+    "reference_answer",
     "run_layers",
     "tokenise",
     "word",
--- a/packages/standins/src/hemlockhall_standins/web.py
+++ b/packages/standins/src/hemlockhall_standins/web.py
@@ -16,6 +16,9 @@
     from collections.abc import Awaitable, Callable
 
 
+UNDISTURBED = ("/faults", "/calls", "/tally")
+
+
 @dataclass
 class Request:
     """A received request."""
@@ -72,7 +75,9 @@
     def __init__(self, faults: Faults | None = None) -> None:
         self.faults = faults or Faults()
         self._routes: list[tuple[str, re.Pattern[str], Callable[..., Any]]] = []
+        self.calls = 0
         self.route("POST", "/faults")(self._set_faults)
+        self.route("GET", "/calls")(self._count)
 
     def route(self, method: str, pattern: str) -> Callable[..., Any]:
         """Register a handler for a method and a path pattern."""
@@ -90,6 +95,9 @@
             setattr(self.faults, name, value)
         return Response({})
 
+    async def _count(self, req: Request) -> Response:
+        return Response({"calls": self.calls})
+
     async def __call__(
         self,
         scope: dict[str, Any],
@@ -123,8 +131,9 @@
             if method != req.method or not match:
                 continue
             req.groups = match.groups()
-            if req.path == "/faults" or req.path.startswith("/tally"):
+            if req.path in UNDISTURBED:
                 return await handler(req)
+            self.calls += 1
             if self.faults.down:
                 return Response({"error": "down"}, 503)
             if self.faults.delay_s:
--- /dev/null
+++ b/tests/core/connection/test_peer.py
@@ -0,0 +1,94 @@
+"""Tests of what a peer takes: each numbered batch once, in order."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+
+from hemlockhall_core.connection.error import QueueFullError
+from hemlockhall_core.connection.frame import Batch, Close
+from hemlockhall_core.connection.peer import MAX_QUEUED, Peer, Timing
+
+ME, THEM = 7, 5
+
+
+@dataclass
+class FakeLink:
+    """Counts what a link would be told."""
+
+    boot: int = ME
+    timing: Timing = field(default_factory=Timing)
+    kinds: Counter[str] = field(default_factory=Counter)
+    lost: list[bool] = field(default_factory=list)
+
+    def count_batch(self, kind: str) -> None:
+        """Count a batch set aside."""
+        self.kinds[kind] += 1
+
+    def peer_lost(self, peer: Peer, *, restarted: bool) -> None:
+        """Keep the news."""
+        self.lost.append(restarted)
+
+
+@pytest.fixture()
+def peer() -> Peer:
+    return Peer("a", "10.0.0.1:1", FakeLink(), None)  # type: ignore[arg-type]
+
+
+def batch(seq: int, boot: int = THEM, to_boot: int = ME, ack: int = 0) -> Batch:
+    messages = [Close("r", seq)] if seq else []
+    return Batch(
+        "a", "10.0.0.1:1", boot, to_boot, seq, ack, 1, "active", 0, False, messages
+    )
+
+
+class TestHeard:
+    # The connection falls silent after a batch has arrived, so that its
+    # acknowledgement is lost; the sender sends it again on a new connection.
+    def test_a_repeated_batch_is_dropped(self, peer: Peer) -> None:
+        assert peer.heard(batch(1))
+        assert not peer.heard(batch(1))
+        assert peer.link.kinds == {"repeat": 1}  # type: ignore[attr-defined]
+
+    # An old connection holds batch 1 up while batch 2 comes on a new one.
+    def test_a_gap_is_dropped_until_it_is_filled(self, peer: Peer) -> None:
+        assert not peer.heard(batch(2))
+        assert peer.heard(batch(1))
+        assert peer.heard(batch(2))
+
+    # The receiver was replaced; what was meant for the run before it must not
+    # run in this one.
+    def test_a_batch_for_an_earlier_run_is_dropped(self, peer: Peer) -> None:
+        assert not peer.heard(batch(1, to_boot=ME - 1))
+        assert peer.received == 0
+
+    # The sender was replaced, and a batch of its earlier run comes late.
+    def test_a_batch_of_an_earlier_run_is_dropped(self, peer: Peer) -> None:
+        assert peer.heard(batch(1))
+        assert peer.heard(batch(1, boot=THEM + 1))
+        assert not peer.heard(batch(2, boot=THEM))
+        assert peer.link.lost == [True]  # type: ignore[attr-defined]
+
+    def test_acknowledged_batches_are_forgotten(self, peer: Peer) -> None:
+        peer.heard(batch(0))
+        peer.post(Close("r", 1))
+        peer._cut()
+        assert len(peer._unacked) == 1
+        peer.heard(batch(0, ack=1))
+        assert len(peer._unacked) == 0
+
+
+class TestPost:
+    def test_a_full_queue_is_an_error(self, peer: Peer) -> None:
+        for number in range(MAX_QUEUED):
+            peer.post(Close("r", number))
+        with pytest.raises(QueueFullError, match="already wait for a"):
+            peer.post(Close("r", 0))
+
+    def test_what_was_not_numbered_can_be_withdrawn(self, peer: Peer) -> None:
+        message = Close("r", 1)
+        peer.post(message)
+        assert peer.withdraw(message)
+        assert not peer.withdraw(message)
--- /dev/null
+++ b/tests/daemon/process/test_calls.py
@@ -0,0 +1,210 @@
+"""A stateful test of at most once, against a store and hosts that fail."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from hemlockhall_core.connection.frame import Answer, Call, Refused
+from hemlockhall_core.process.error import (
+    StoreConflictError,
+    StoreUnavailableError,
+    StoreUnknownError,
+)
+from hemlockhall_core.process.table import Row, Transaction
+from hemlockhall_core.request.reason import Ran
+from hemlockhalld.process import calls as calls_module
+from hemlockhalld.process.calls import Calls
+from hemlockhalld.request.claim import Claims
+
+KEYS = ("k1", "k2")
+FAULTS = ("none", "lost", "lost_then_down", "down")
+ENDS = ("answers", "loses_answer", "refuses", "host_dies_before", "host_dies_after")
+
+
+class HostDiedError(BaseException):
+    """The side process ends here and now."""
+
+
+@dataclass
+class FakeTable:
+    """A table service with one fault at a time."""
+
+    rows: dict[str, Row] = field(default_factory=dict)
+    fault: str = "none"
+    down: bool = False
+    clock: int = 0
+
+    async def read(self, key: str) -> Row | None:
+        """Return a row."""
+        if self.down:
+            raise StoreUnavailableError("down", 1.0)
+        return self.rows.get(key)
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Write, and perhaps lose the answer."""
+        if self.down or self.fault == "down":
+            raise StoreUnavailableError("down", 1.0)
+        for check in transaction.checks:
+            row = self.rows.get(check.key)
+            if (row.version if row else 0) != check.version:
+                raise StoreConflictError([check.key])
+        self.clock += 1
+        for put in transaction.puts:
+            self.rows[put.key] = Row(put.key, put.value, self.clock)
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+        fault, self.fault = self.fault, "none"
+        if fault.startswith("lost"):
+            self.down = fault == "lost_then_down"
+            raise StoreUnknownError("answer lost")
+        return self.clock
+
+
+@dataclass
+class FakePeer:
+    """Keeps what would go to the entry host."""
+
+    posted: list[Any] = field(default_factory=list)
+
+    def post(self, message: Any) -> None:
+        """Keep a message."""
+        self.posted.append(message)
+
+
+class Bookings(RuleBasedStateMachine):
+    """Two side processes book under two keys; hosts and store fail at will."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = FakeTable()
+        self.effects: Counter[str] = Counter()
+        self.answers: dict[str, set[bytes]] = {key: set() for key in KEYS}
+        self.end = "answers"
+        self.boots = 0
+        self.requests = 0
+
+    @initialize()
+    def start(self) -> None:
+        self.sides = [self.side(), self.side()]
+
+    def side(self) -> tuple[Calls, Claims]:
+        self.boots += 1
+        claims = Claims(self.table, self.boots)  # type: ignore[arg-type]
+        made = Calls("http://service", claims)
+        transport = httpx.MockTransport(self.serve)
+        made._client = httpx.AsyncClient(transport=transport, base_url="http://service")
+        return made, claims
+
+    def serve(self, request: httpx.Request) -> httpx.Response:
+        if self.end == "refuses":
+            raise httpx.ConnectError("refused")
+        if self.end == "host_dies_before":
+            raise HostDiedError
+        key = request.headers["x-key"]
+        self.effects[key] += 1
+        if self.end == "host_dies_after":
+            raise HostDiedError
+        if self.end == "loses_answer":
+            raise httpx.ReadError("cut")
+        return httpx.Response(201, content=f"{key}-{self.effects[key]}".encode())
+
+    @rule(
+        side=st.integers(0, 1),
+        key=st.sampled_from(KEYS),
+        fault=st.sampled_from(FAULTS),
+        end=st.sampled_from(ENDS),
+        expired=st.booleans(),
+    )
+    def book(self, side: int, key: str, fault: str, end: str, expired: bool) -> None:
+        self.table.fault, self.end = fault, end
+        self.requests += 1
+        call = self.call(key, -1.0 if expired else 9.0)
+        before = self.effects[key]
+        peer = FakePeer()
+        try:
+            anyio.run(self.sides[side][0].run, peer, call)
+        except HostDiedError:
+            self.sides[side] = self.side()
+        self.table.fault = "none"
+        for message in peer.posted:
+            self.judge(key, before, message)
+
+    def call(self, key: str, expires_in: float) -> Call:
+        from hemlockhall_core.connection.frame import Header
+
+        headers = [Header("x-key", key)]
+        name = f"r{self.requests}"
+        return Call(
+            name,
+            1,
+            1,
+            "parish",
+            "booking",
+            "POST",
+            "/b",
+            "",
+            headers,
+            b"x",
+            key,
+            False,
+            expires_in,
+        )
+
+    def judge(self, key: str, before: int, message: Any) -> None:
+        if isinstance(message, Answer):
+            self.answers[key].add(message.body)
+            return
+        assert isinstance(message, Refused)
+        if message.ran == Ran.NO.value:
+            assert self.effects[key] == before, f"'not run' but it ran: {message}"
+
+    @rule()
+    def store_is_back(self) -> None:
+        self.table.down = False
+
+    @rule(side=st.integers(0, 1))
+    def clean(self, side: int) -> None:
+        claims = self.sides[side][1]
+
+        async def once() -> None:
+            for key in list(claims._outcomes):
+                await claims._record(key)
+            for key in list(claims._abandoned):
+                await claims._clean(key)
+
+        anyio.run(once)
+
+    @invariant()
+    def at_most_once(self) -> None:
+        for key in KEYS:
+            assert self.effects[key] <= 1, f"{key} ran {self.effects[key]} times"
+            assert len(self.answers[key]) <= 1, self.answers[key]
+
+
+class TestAtMostOnce:
+    def test_orders_of_failures(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(calls_module, "POLL_PAUSES", (0.0,))
+        from hypothesis.stateful import run_state_machine_as_test
+
+        profile = settings(
+            max_examples=60, stateful_step_count=25, deadline=None, derandomize=True
+        )
+        run_state_machine_as_test(Bookings, settings=profile)
+
+    def test_a_paused_holder_finds_the_deadline_past(self) -> None:
+        machine = Bookings()
+        machine.start()
+        call = machine.call("k1", -1.0)
+        peer = FakePeer()
+        anyio.run(machine.sides[0][0].run, peer, call)
+        assert peer.posted[0].ran == Ran.NO.value
+        assert machine.effects["k1"] == 0
