--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= 3
 STAMP := .venv/.ready
 
-.PHONY: setup demo demo-stay test lint format
+.PHONY: setup demo demo-stay test lint format bench-recovery bench-throughput bench-control
 
 setup: $(STAMP)
 
@@ -31,3 +31,12 @@
 test: setup
 	$(BIN)/pytest -q tests
 	ls features/*.feature | xargs -P $(JOBS) -n 1 $(BIN)/behave
+
+bench-recovery: setup
+	$(BIN)/python -m hemlockhall_standins.bench.recovery
+
+bench-throughput: setup
+	$(BIN)/python -m hemlockhall_standins.bench.throughput
+
+bench-control: setup
+	$(BIN)/python -m hemlockhall_standins.bench.control
--- a/packages/core/src/hemlockhall_core/process/setting.py
+++ b/packages/core/src/hemlockhall_core/process/setting.py
@@ -48,6 +48,7 @@
     heartbeat_s: Seconds = 0.3
     renew_s: Seconds = 0.7
     dead_s: Seconds = 1.6
+    refused_s: Seconds = 0.25
 
 
 class PlatformSection(Section):
--- a/packages/daemon/src/hemlockhalld/process/base.py
+++ b/packages/daemon/src/hemlockhalld/process/base.py
@@ -49,7 +49,9 @@
         self.leaving = False
         self.holder = Holder(wanted, self.metrics, self.adopted)
         section = settings.link
-        timing = Timing(section.heartbeat_s, section.renew_s, section.dead_s)
+        timing = Timing(
+            section.heartbeat_s, section.renew_s, section.dead_s, section.refused_s
+        )
         address = section.advertise or section.address
         name = settings.process.name
         self.link = Link(name, section.address, address, self, self.metrics, timing)
--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -94,9 +94,13 @@
         """Start a program of this project."""
         with self._log_path(name).open("ab") as log:
             self._processes[name] = subprocess.Popen(
-                [self._bin / program, *args], stdout=log, stderr=log
+                [self.program(program), *args], stdout=log, stderr=log
             )
 
+    def program(self, name: str) -> Path:
+        """Return the path of a program of this project."""
+        return self._bin / name
+
     def wait_listening(self, address: str, what: str) -> None:
         """Wait until something listens there."""
         host, port = address.split(":")
@@ -192,6 +196,7 @@
     first: int = 0
     last: int = 0
     service: str = ""
+    speed: float = 1.0
 
 
 @dataclass
@@ -227,6 +232,8 @@
     leave_notice_s: float = 0.3
     rate: int = 10_000
     proxied: tuple[str, ...] = ()
+    refused_s: float = 0.25
+    step_timeout_s: float = 2.0
     nodes: dict[str, Node] = field(default_factory=dict)
     urls: dict[str, str] = field(default_factory=dict)
     admin_urls: dict[str, str] = field(default_factory=dict)
@@ -280,7 +287,7 @@
         path.write_text(
             self._common(plan.name, plan.data_centre, listen, link)
             + f'[side]\nback_end = "http://{back_end}"\nadmin = "{admin}"\n'
-            + f'kind = "{kind}"\nstep_timeout_s = 2.0\n'
+            + f'kind = "{kind}"\nstep_timeout_s = {self.step_timeout_s}\n'
             + f"retain_bytes = {self.retain_bytes}\n"
         )
 
@@ -314,6 +321,7 @@
         return (
             f'[process]\nname = "{name}"\ndata_centre = "{data_centre}"\n'
             f'[link]\naddress = "{listen}"\nadvertise = "{link}"\n'
+            f"refused_s = {self.refused_s}\n"
             f'[platform]\ntable = "{self.platform("table")}"\n'
             f'objects = "{self.platform("objects")}"\n'
             f'hosts = "{self.platform("hosts")}"\n'
@@ -364,7 +372,7 @@
         ]
         if plan.service:
             return [*lines, f'service = "{plan.service}"']
-        lines.append(f'kind = "{plan.kind}"')
+        lines.append(f'kind = "{plan.kind}"\nspeed = {plan.speed}')
         lines.append(f'model = "{MODEL}"')
         return [*lines, f"layers = [{plan.first}, {plan.last}]"]
 
@@ -383,7 +391,7 @@
             "HEMLOCKHALL_ENTRIES": " ".join(self.admin_urls.values()),
         }
         return subprocess.run(
-            [self._bin / "hemlockhall", *args],
+            [self.program("hemlockhall"), *args],
             env=env,
             capture_output=True,
             text=True,
@@ -400,7 +408,8 @@
         else:
             layers = ("--first", str(plan.first), "--last", str(plan.last))
             speed = ("--step-s", str(self.step_s))
-            speed += ("--token-layer-s", str(self.token_layer_s))
+            cost = self.token_layer_s / plan.speed
+            speed += ("--token-layer-s", str(cost))
             args = ("engine", *listen, *layers, *speed)
         self.run(f"{name}/back-end", "hemlockstand", *args)
         self.wait_listening(node.back_end, name)
@@ -416,7 +425,7 @@
         self.run(name, "hemlockhalld", "entry", "--settings", path)
 
     def wait_ready(self, name: str) -> None:
-        """Wait until an entry host sees every started endpoint."""
+        """Wait until an entry host sees every started endpoint as active."""
 
         def ready() -> bool:
             if not self.running(name):
--- a/packages/standins/src/hemlockhall_standins/engine.py
+++ b/packages/standins/src/hemlockhall_standins/engine.py
@@ -100,6 +100,7 @@
         self.refused = 0
         self.blocks: OrderedDict[int, None] = OrderedDict()
         self.events: list[dict[str, Any]] = []
+        self._accelerator = anyio.Lock()
         self._reports: list[tuple[float, int]] = [(0.0, 0)]
 
     def app(self) -> App:
@@ -125,7 +126,8 @@
             results.append(result)
         layers = self.last - self.first
         cost = self.faults.step_s + self.faults.token_layer_s * tokens * layers
-        await anyio.sleep(cost)
+        async with self._accelerator:
+            await anyio.sleep(cost)
         self._reports.append((time.monotonic(), len(self.caches)))
         return Response({"results": results})
 
--- /dev/null
+++ b/tests/daemon/process/test_stages.py
@@ -0,0 +1,125 @@
+"""Tests of the requests at one endpoint: late and superseded messages."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+
+from hemlockhall_core.connection.frame import Close, Failed, Hop, Loop, Need, Open, Stop
+from hemlockhall_core.process.metric import Metrics
+from hemlockhall_core.request.reason import Retry
+from hemlockhalld.process.stages import Stages
+
+ROUTE = [Stop("a", "10.0.0.1:1", 0, 2), Stop("b", "10.0.0.2:1", 2, 4)]
+OPEN = Open(
+    "r", 1, 1, "m", "", ROUTE, 1, "e", "10.0.0.9:1", "", [], False, 9, 0, 1, 9.0
+)
+
+
+@dataclass
+class FakePeer:
+    """Keeps what is sent to one peer."""
+
+    alive: bool = True
+    posted: list[Any] = field(default_factory=list)
+
+    def post(self, message: Any) -> None:
+        """Keep a message."""
+        self.posted.append(message)
+
+
+@dataclass
+class FakeLink:
+    """Peers by name."""
+
+    peers: dict[str, FakePeer] = field(default_factory=dict)
+
+    def peer(self, name: str, address: str) -> FakePeer:
+        """Return a peer."""
+        return self.peers.setdefault(name, FakePeer())
+
+
+@pytest.fixture()
+def link() -> FakeLink:
+    return FakeLink()
+
+
+@pytest.fixture()
+def stages(link: FakeLink) -> Stages:
+    return Stages(link, None, Metrics(), 1000)  # type: ignore[arg-type]
+
+
+def opened(attempt: int, index: int = 1, resume: bool = False) -> Open:
+    return msgspec.structs.replace(OPEN, attempt=attempt, index=index, resume=resume)
+
+
+class TestOpen:
+    # The entry host closes the request at each stage directly; the opening
+    # comes along the pipeline and arrives after it.
+    def test_an_opening_after_its_own_close_is_dropped(self, stages: Stages) -> None:
+        stages.close(Close("r", 1))
+        stages.open(opened(1))
+        assert stages.requests == {}
+
+    def test_a_later_attempt_after_a_close_is_taken(self, stages: Stages) -> None:
+        stages.close(Close("r", 1))
+        stages.open(opened(2))
+        assert stages.requests["r"].open.attempt == 2
+
+    def test_a_lower_attempt_does_not_replace_a_higher(self, stages: Stages) -> None:
+        stages.open(opened(2))
+        stages.open(opened(1))
+        assert stages.requests["r"].open.attempt == 2
+
+    def test_a_repair_asks_the_stage_before_for_what_is_lacking(
+        self, stages: Stages, link: FakeLink
+    ) -> None:
+        stages.open(opened(2, resume=True))
+        assert link.peers["a"].posted == [Need("r", 2, 0)]
+
+
+class TestHop:
+    # A stage was frozen, its pipeline repaired, and it resumes: its old hops
+    # must not be appended to the KV cache of the new attempt.
+    def test_a_superseded_hop_is_dropped(self, stages: Stages) -> None:
+        stages.open(opened(2))
+        stages.hop(Hop("r", 1, 2, 0, 3, [b"x"]))
+        assert stages.requests["r"].inputs == []
+
+    def test_hops_of_other_layers_fail_the_attempt(
+        self, stages: Stages, link: FakeLink
+    ) -> None:
+        stages.open(opened(1))
+        stages.hop(Hop("r", 1, 0, 0, 3, [b"x"]))
+        failed = Failed("r", 1, "b", Retry.HOP_GAP.value)
+        assert link.peers["e"].posted == [failed]
+
+    def test_a_gap_fails_the_attempt(self, stages: Stages, link: FakeLink) -> None:
+        stages.open(opened(1))
+        stages.hop(Hop("r", 1, 2, 1, 3, [b"x"]))
+        failed = Failed("r", 1, "b", Retry.HOP_GAP.value)
+        assert link.peers["e"].posted == [failed]
+
+
+class TestLoop:
+    def test_a_repeated_token_is_dropped(self, stages: Stages) -> None:
+        stages.open(opened(1, index=0))
+        stages.loop(Loop("r", 1, 0, 77))
+        stages.loop(Loop("r", 1, 0, 78))
+        assert stages.requests["r"].tokens == [77]
+
+
+class TestLost:
+    def test_requests_of_a_lost_entry_host_are_dropped(self, stages: Stages) -> None:
+        stages.open(opened(1))
+        stages.lost("e")
+        assert stages.requests == {}
+
+    def test_a_lost_neighbour_is_reported(self, stages: Stages, link: FakeLink) -> None:
+        stages.open(opened(1))
+        stages.lost("a")
+        failed = Failed("r", 1, "a", Retry.PEER_LOST.value)
+        assert link.peers["e"].posted == [failed]
--- /dev/null
+++ b/tests/daemon/process/test_web.py
@@ -0,0 +1,219 @@
+"""What callers get, good and bad, from real processes."""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import httpx
+import pynng
+import pytest
+
+from hemlockhall_core.request.reason import Refusal, Retry
+from hemlockhall_standins.caller import ask, prompt_text
+from hemlockhall_standins.deployment import (
+    API_KEY,
+    LAYERS,
+    MODEL,
+    Deployment,
+    EndpointPlan,
+)
+from hemlockhall_standins.engine import reference_answer
+
+PLANS = [
+    EndpointPlan("a1", "tall", "attica-1", 0, LAYERS),
+    EndpointPlan("loft-1", "plain", "attica-1", service="booking"),
+]
+CHAT = "/v1/chat/completions"
+
+
+@pytest.fixture(scope="module")
+def deployment() -> Iterator[Deployment]:
+    with Deployment(PLANS, entries=1) as running:
+        yield running
+
+
+@pytest.fixture()
+def client(deployment: Deployment) -> Iterator[httpx.Client]:
+    with deployment.client() as made:
+        yield made
+
+
+def problem(response: httpx.Response, reason: Refusal, status: int) -> dict[str, Any]:
+    assert response.status_code == status, response.text
+    assert response.headers["content-type"] == "application/problem+json"
+    body = response.json()
+    assert body["reason"] == reason.value
+    assert body["type"] == f"urn:hemlockhall:refusal:{reason.value}"
+    assert body["ran"] == "no"
+    return body
+
+
+class TestModels:
+    def test_adapters_are_listed_as_models(self, client: httpx.Client) -> None:
+        listed = [entry["id"] for entry in client.get("/v1/models").json()["data"]]
+        assert listed == ["organ-12b", "organ-notices"]
+
+    def test_whole_chat_answer(self, client: httpx.Client) -> None:
+        answer = client.post(CHAT, json=ask("Notice", 6, stream=False)).json()
+        text = answer["choices"][0]["message"]["content"]
+        assert text == reference_answer(prompt_text("Notice"), 6, LAYERS)
+        assert answer["usage"] == {
+            "prompt_tokens": 3,
+            "completion_tokens": 6,
+            "total_tokens": 9,
+        }
+
+    def test_plain_completion_by_an_adapter(self, client: httpx.Client) -> None:
+        body = {"model": "organ-notices", "prompt": "Notice", "max_tokens": 4}
+        answer = client.post("/v1/completions", json=body).json()
+        assert answer["choices"][0]["finish_reason"] == "length"
+        plain = reference_answer("Notice", 4, LAYERS)
+        assert answer["choices"][0]["text"] not in ("", plain)
+
+    def test_plain_completion_streams_events(self, client: httpx.Client) -> None:
+        body = {"model": MODEL, "prompt": "Notice", "max_tokens": 3, "stream": True}
+        lines = client.post("/v1/completions", json=body).text.split("\n\n")
+        assert lines[-2:] == ["data: [DONE]", ""]
+        texts = [json.loads(line[6:])["choices"][0]["text"] for line in lines[:-2]]
+        assert "".join(texts) == reference_answer("Notice", 3, LAYERS)
+
+
+class TestRefusals:
+    def test_malformed_json(self, client: httpx.Client) -> None:
+        body = problem(client.post(CHAT, content=b"{no"), Refusal.MALFORMED_BODY, 400)
+        assert "not JSON" in body["detail"]
+
+    def test_all_faults_of_a_body_are_named(self, client: httpx.Client) -> None:
+        wrong = {"model": 5, "messages": [], "max_tokens": -1}
+        body = problem(client.post(CHAT, json=wrong), Refusal.MALFORMED_BODY, 400)
+        for place in ("model", "messages", "max_tokens"):
+            assert place in body["detail"]
+
+    def test_body_over_the_limit(self, client: httpx.Client) -> None:
+        response = client.post(CHAT, content=b" " * 1_100_000)
+        problem(response, Refusal.BODY_TOO_LARGE, 413)
+
+    def test_unknown_model(self, client: httpx.Client) -> None:
+        body = ask("x", 1, stream=True, model="flute")
+        problem(client.post(CHAT, json=body), Refusal.UNKNOWN_MODEL, 404)
+
+    def test_unknown_key_reaches_nothing(self, deployment: Deployment) -> None:
+        before = len(deployment.tally("a1")["steps"])
+        with deployment.client(key="wrong") as client:
+            response = client.post(CHAT, json=ask("x", 1, stream=False))
+        problem(response, Refusal.UNAUTHORIZED, 401)
+        assert len(deployment.tally("a1")["steps"]) == before
+
+    @pytest.mark.parametrize("text", ["soon", "-1", "0", "1e9", "nan"])
+    def test_bad_deadline(self, client: httpx.Client, text: str) -> None:
+        headers = {"x-deadline-seconds": text}
+        response = client.post(CHAT, json=ask("x", 1, stream=False), headers=headers)
+        problem(response, Refusal.BAD_DEADLINE, 400)
+
+    def test_unknown_path_and_service(self, client: httpx.Client) -> None:
+        problem(client.get("/v2/things"), Refusal.NOT_FOUND, 404)
+        problem(client.get("/services/x/y"), Refusal.UNKNOWN_SERVICE, 404)
+        response = client.put("/services/booking/bookings")
+        problem(response, Refusal.CALL_UNDECLARED, 405)
+
+    def test_every_reason_has_a_counter(
+        self, deployment: Deployment, client: httpx.Client
+    ) -> None:
+        client.get("/v2/things")
+        text = httpx.get(f"{deployment.admin_urls['entry-1']}/metrics").text
+        for refusal in Refusal:
+            assert f'refusals_total{{reason="{refusal.value}"}}' in text
+        for retry in Retry:
+            assert f'retries_total{{reason="{retry.value}"}}' in text
+        assert deployment.counter("entry-1", "refusals", "not_found") >= 1
+
+
+class TestServices:
+    def test_query_body_and_headers_go_both_ways(self, client: httpx.Client) -> None:
+        response = client.get("/services/booking/calendar?month=12")
+        assert response.json()["q"] == {"month": "12"}
+        key = {"idempotency-key": "w-1"}
+        booked = client.post("/services/booking/bookings", json=[1], headers=key)
+        assert booked.headers["x-service"] == "booking"
+        assert booked.json()["what"] == [1]
+
+    def test_no_endpoint_left(self, deployment: Deployment) -> None:
+        deployment.kill("loft-1")
+        with deployment.client() as client:
+            response = client.get("/services/booking/calendar")
+            while response.status_code == 200:
+                response = client.get("/services/booking/calendar")
+        assert response.json()["reason"] == Refusal.NO_ENDPOINT.value
+        assert float(response.headers["retry-after"]) >= 1
+        deployment.start_side("loft-1")
+        deployment.wait_ready("entry-1")
+
+
+class TestHostileFrames:
+    @pytest.mark.parametrize("data", [b"", b"\xc1", b"\x9b" * 11, b"x" * 100_000])
+    def test_garbage_is_counted_and_survived(
+        self, deployment: Deployment, client: httpx.Client, data: bytes
+    ) -> None:
+        before = deployment.counter("a1", "batches", "malformed")
+        address = deployment.nodes["a1"].link
+        with pynng.Push0(dial=f"tcp://{address}", block_on_dial=True) as sock:
+            sock.send(data)
+            answer = client.post(CHAT, json=ask("Notice", 2, stream=False))
+            assert answer.status_code == 200
+            while deployment.counter("a1", "batches", "malformed") == before:
+                assert deployment.running("a1")
+
+    def test_bytes_that_are_not_of_the_transport(
+        self, deployment: Deployment, client: httpx.Client
+    ) -> None:
+        host, port = deployment.nodes["a1"].link.split(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n" * 50)
+        answer = client.post(CHAT, json=ask("Notice", 2, stream=False))
+        assert answer.status_code == 200
+
+
+class TestLogs:
+    def test_api_keys_are_not_logged(
+        self, deployment: Deployment, client: httpx.Client
+    ) -> None:
+        client.post(CHAT, json=ask("Notice", 2, stream=False))
+        client.get("/nowhere")
+        for name in ("entry-1", "a1", "loft-1"):
+            assert API_KEY not in deployment.log(name)
+
+
+class TestSettings:
+    def start(self, deployment: Deployment, path: Path) -> subprocess.CompletedProcess:
+        program = deployment.program("hemlockhalld")
+        args = [program, "side", "--settings", str(path)]
+        return subprocess.run(args, capture_output=True, text=True, check=False)
+
+    def test_every_fault_is_named(self, deployment: Deployment, tmp_path: Path) -> None:
+        text = deployment.nodes["a1"].settings.read_text()
+        text = text.replace('kind = "engine"', 'kind = "motor"')
+        text = text.replace("step_timeout_s = 2.0", 'step_timeout_s = "long"')
+        path = tmp_path / "side.toml"
+        path.write_text(text + "colour = 1\n")
+        ended = self.start(deployment, path)
+        assert ended.returncode == 1
+        for place in ("side.kind", "side.step_timeout_s", "side.colour"):
+            assert place in ended.stderr
+
+    def test_check_only(self, deployment: Deployment) -> None:
+        program = deployment.program("hemlockhalld")
+        path = str(deployment.nodes["a1"].settings)
+        args = [program, "side", "--check-settings", "--settings", path]
+        ended = subprocess.run(args, capture_output=True, text=True, check=False)
+        assert (ended.returncode, ended.stdout) == (0, f"{path}: settings are valid\n")
+
+    def test_address_in_use(self, deployment: Deployment) -> None:
+        ended = self.start(deployment, deployment.nodes["a1"].settings)
+        assert ended.returncode == 1
+        assert "set link.address to a free address" in ended.stderr
+        assert deployment.running("a1")
