Measure throughput against the bound

Cause: nothing measured it. 39 engines of four kinds in three data centres hold a model in three stages, 220 callers ask without a pause; the bound is the flow that the slowest stage admits.

--- a/packages/standins/src/hemlockhall_standins/caller.py
+++ b/packages/standins/src/hemlockhall_standins/caller.py
@@ -49,9 +49,15 @@
 
 
 async def read_stream_async(
-    client: httpx.AsyncClient, url: str, body: dict[str, Any]
+    client: httpx.AsyncClient,
+    url: str,
+    body: dict[str, Any],
+    on_event: Callable[[], None] | None = None,
 ) -> Streamed:
-    """Return an answer, streamed or whole as the body asks for it."""
+    """Return an answer, streamed or whole as the body asks for it.
+
+    ``on_event`` is called for each streamed token as it comes.
+    """
     streamed = Streamed()
     path = f"{url}/v1/chat/completions"
     async with client.stream("POST", path, json=body) as response:
@@ -66,6 +72,8 @@
             async for line in response.aiter_lines():
                 if line.startswith("data: "):
                     _take(streamed, line.removeprefix("data: "))
+                    if on_event is not None and not streamed.done:
+                        on_event()
     return streamed
 
 
--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -233,6 +233,7 @@
     rate: int = 10_000
     proxied: tuple[str, ...] = ()
     refused_s: float = 0.25
+    chooser: str = "weighted"
     step_timeout_s: float = 2.0
     nodes: dict[str, Node] = field(default_factory=dict)
     urls: dict[str, str] = field(default_factory=dict)
@@ -307,6 +308,7 @@
             self._common(name, "attica-1", behind, link)
             + f'[entry]\nlisten = "{listen}"\nadmin = "{admin}"\n'
             + f"leave_notice_s = {self.leave_notice_s}\npoll_s = 0.5\n"
+            + f'chooser = "{self.chooser}"\n'
             + seeds
         )
 
