Let a step take one part of the open requests, not all

Cause: a step took every request with work, so the requests of a pipeline moved through it together and two of three stages idled at any time. Ruled out: the choice of chains, since chains in turn suffered as much.

--- a/packages/daemon/src/hemlockhalld/process/stages.py
+++ b/packages/daemon/src/hemlockhalld/process/stages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import OrderedDict
 from typing import TYPE_CHECKING
@@ -229,11 +230,20 @@
             self._finish(result)
 
     def _items(self) -> list[Item]:
-        ready, self._ready = self._ready, {}
+        """Return the work of one step, those first that have waited longest.
+
+        A step that took all requests would send them on together, and the
+        other stages of the pipeline would idle meanwhile. So a step takes
+        one part of the open requests, as many parts as there are stages.
+        """
         items: list[Item] = []
         now = time.monotonic()
-        for request in ready:
+        for request in list(self._ready):
             stage = self.requests.get(request)
+            limit = math.ceil(len(self.requests) / self._parts(stage))
+            if len(items) >= limit:
+                break
+            del self._ready[request]
             if stage is None:
                 continue
             if now > stage.deadline:
@@ -244,6 +254,10 @@
                 items.append(item)
         return items
 
+    @staticmethod
+    def _parts(stage: Stage | None) -> int:
+        return len(stage.open.route) if stage is not None else 1
+
     def _finish(self, result: Result) -> None:
         stage = self.requests.get(result.request)
         if stage is None:
--- a/packages/standins/src/hemlockhall_standins/engine.py
+++ b/packages/standins/src/hemlockhall_standins/engine.py
@@ -100,6 +100,8 @@
         self.refused = 0
         self.blocks: OrderedDict[int, None] = OrderedDict()
         self.events: list[dict[str, Any]] = []
+        self.busy_s = 0.0
+        self.step_count = 0
         self._accelerator = anyio.Lock()
         self._reports: list[tuple[float, int]] = [(0.0, 0)]
 
@@ -128,6 +130,8 @@
         cost = self.faults.step_s + self.faults.token_layer_s * tokens * layers
         async with self._accelerator:
             await anyio.sleep(cost)
+        self.busy_s += cost
+        self.step_count += 1
         self._reports.append((time.monotonic(), len(self.caches)))
         return Response({"results": results})
 
@@ -246,6 +250,8 @@
         return Response(
             {
                 "steps": steps,
+                "busy_s": self.busy_s,
+                "step_count": self.step_count,
                 "open": sorted(self.caches),
                 "orders": self.orders,
                 "refused": self.refused,
