--- a/packages/core/src/hemlockhall_core/request/reason.py
+++ b/packages/core/src/hemlockhall_core/request/reason.py
@@ -28,7 +28,6 @@
     IN_PROGRESS = "in_progress"
     KEY_MISSING = "key_missing"
     KEY_REUSED = "key_reused"
-    LEAVING = "leaving"
     MALFORMED_BODY = "malformed_body"
     NO_DOCUMENT = "no_document"
     NO_ENDPOINT = "no_endpoint"
@@ -53,7 +52,6 @@
     PEER_RESTARTED = "peer_restarted"
     REQUEST_LOST = "request_lost"
     STALE_VERSION = "stale_version"
-    STORE_CONFLICT = "store_conflict"
 
 
 __all__ = [
--- a/packages/core/src/hemlockhall_core/version/repository.py
+++ b/packages/core/src/hemlockhall_core/version/repository.py
@@ -11,7 +11,6 @@
 import random
 import secrets
 from datetime import UTC, datetime
-from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
@@ -30,9 +29,6 @@
 )
 from hemlockhall_core.version.text import digest, join, split
 
-if TYPE_CHECKING:
-    from hemlockhall_core.process.metric import Metrics
-
 HEAD = "document/head"
 HISTORY = "document/history/"
 MAX_TRIES = 40
@@ -71,12 +67,9 @@
 class Repository:
     """Reads and submits versions of the document."""
 
-    def __init__(
-        self, table: Table, objects: Objects, metrics: Metrics | None = None
-    ) -> None:
+    def __init__(self, table: Table, objects: Objects) -> None:
         self._table = table
         self._objects = objects
-        self._metrics = metrics
 
     async def head(self) -> Revision:
         """Return the accepted version, or version 0 if there is none."""
--- a/packages/daemon/src/hemlockhalld/request/problem.py
+++ b/packages/daemon/src/hemlockhalld/request/problem.py
@@ -20,7 +20,6 @@
     Refusal.IN_PROGRESS: 409,
     Refusal.KEY_MISSING: 400,
     Refusal.KEY_REUSED: 422,
-    Refusal.LEAVING: 503,
     Refusal.MALFORMED_BODY: 400,
     Refusal.NO_DOCUMENT: 503,
     Refusal.NO_ENDPOINT: 503,
