--- a/packages/daemon/src/hemlockhalld/process/stages.py
+++ b/packages/daemon/src/hemlockhalld/process/stages.py
@@ -37,7 +37,6 @@
     from hemlockhalld.process.engine import Engine, Item, Result
 
 MAX_CLOSED = 10_000
-STEPS_UNDER_WAY = 2
 HEALTH_INTERVAL = 0.2
 
 
@@ -71,8 +70,6 @@
         self._ready: dict[str, None] = {}
         self._cancels: list[str] = []
         self._wake = anyio.Event()
-        self._recovery = anyio.Lock()
-        self._resets = 0
 
     def refuse(self, message: Open, reason: Retry) -> None:
         """Tell the entry host that an attempt does not start here."""
@@ -202,29 +199,16 @@
                     break
 
     async def run(self) -> None:
-        """Step the engine for ever.
-
-        Two steps are under way, so that the engine has the next one at hand
-        while the results of the last are passed on.
-        """
+        """Step the engine for ever: all requests with work in one batch."""
         await self._reset()
-        async with anyio.create_task_group() as group:
-            for _ in range(STEPS_UNDER_WAY):
-                group.start_soon(self._step_for_ever)
-
-    async def _step_for_ever(self) -> None:
         while True:
-            while not self._ready and not self._cancels:
-                if self._wake.is_set():
-                    self._wake = anyio.Event()
+            if not self._ready and not self._cancels:
                 await self._wake.wait()
-            resets = self._resets
+            self._wake = anyio.Event()
             try:
                 await self._step()
             except EngineError as exc:
-                async with self._recovery:
-                    if resets == self._resets:
-                        await self._engine_lost(exc)
+                await self._engine_lost(exc)
 
     async def _reset(self) -> None:
         """Free what an earlier run of this process left in the engine.
@@ -241,7 +225,6 @@
             except EngineError as exc:
                 logger.warning("engine does not answer yet: {}", exc)
                 await anyio.sleep(HEALTH_INTERVAL)
-        self._resets += 1
         self.failing = False
         self.changed()
 
@@ -260,8 +243,7 @@
 
         A step that took all requests would send them on together, and the
         other stages of the pipeline would idle meanwhile. So a step takes
-        one part of the open requests: as many parts as there are stages, and
-        one for each further step under way.
+        one part of the open requests, as many parts as there are stages.
         """
         items: list[Item] = []
         now = time.monotonic()
@@ -283,9 +265,7 @@
 
     @staticmethod
     def _parts(stage: Stage | None) -> int:
-        if stage is None:
-            return 1
-        return len(stage.open.route) + STEPS_UNDER_WAY - 1
+        return len(stage.open.route) if stage is not None else 1
 
     def _finish(self, result: Result) -> None:
         stage = self.requests.get(result.request)
