--- a/features/steps/booking.py
+++ b/features/steps/booking.py
@@ -11,7 +11,8 @@
 import httpx
 from behave import given, then, use_step_matcher, when
 
-from hemlockhall_standins.deployment import Deployment, EndpointPlan, wait_for
+from hemlockhall_standins.deployment import Deployment, EndpointPlan
+from hemlockhall_standins.processes import wait_for
 
 PATH = "/services/booking/bookings"
 COME_BACK = (409, 503)
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -9,7 +9,8 @@
 from behave import given, step, then, when
 
 from hemlockhall_standins.caller import Streamed, ask, read_stream
-from hemlockhall_standins.deployment import Deployment, two_pipelines, wait_for
+from hemlockhall_standins.deployment import Deployment, two_pipelines
+from hemlockhall_standins.processes import wait_for
 
 PROMPT = "Recital notice for Sunday at five"
 
--- a/features/steps/document.py
+++ b/features/steps/document.py
@@ -10,7 +10,8 @@
 from behave import given, then, when
 
 from hemlockhall_standins.caller import ask, read_stream
-from hemlockhall_standins.deployment import Deployment, wait_for
+from hemlockhall_standins.deployment import Deployment
+from hemlockhall_standins.processes import wait_for
 
 
 def customer(name: str) -> str:
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -12,7 +12,8 @@
 from behave import then, when
 
 from hemlockhall_standins.caller import Streamed, ask, read_stream
-from hemlockhall_standins.deployment import Deployment, answers
+from hemlockhall_standins.deployment import Deployment
+from hemlockhall_standins.processes import answers
 
 PROMPT = "Programme notes"
 
--- a/features/steps/link.py
+++ b/features/steps/link.py
@@ -8,7 +8,8 @@
 from booking import send_and, started
 from common import stream_with
 
-from hemlockhall_standins.deployment import Deployment, two_pipelines, wait_for
+from hemlockhall_standins.deployment import Deployment, two_pipelines
+from hemlockhall_standins.processes import wait_for
 
 
 @given("a deployment of two pipelines with a path before {names}")
--- a/tests/core/version/test_repository.py
+++ b/tests/core/version/test_repository.py
@@ -12,7 +12,7 @@
 from hemlockhall_core.version.error import DocumentError, SectionConflictError
 from hemlockhall_core.version.repository import Accepted, Repository
 from hemlockhall_core.version.text import join
-from hemlockhall_standins.deployment import Platform
+from hemlockhall_standins.processes import Platform
 
 SECTIONS = {
     "models": '[models.organ]\nversion = "1"\nlayers = 4',
