Keep the side process alive whatever path a caller sends

Cause: paths reach the side process decoded; the HTTP client raises on some (a NUL byte), with an error of another family than those that were caught, and the task group ended the process with all its calls. Ruled out: the entry host, which passed the path on unharmed. Before: test_odd_paths 5 failed (after the first, the endpoint was gone). After: test_web.py 32 passed. Conclusion: the path is quoted again, and a call that cannot be handled is refused instead of ending the process.

--- a/packages/daemon/src/hemlockhalld/process/calls.py
+++ b/packages/daemon/src/hemlockhalld/process/calls.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from urllib.parse import quote
 
 import anyio
 import httpx
@@ -23,6 +24,7 @@
 
 POLL_PAUSES = (0.05, 0.15, 0.4)
 COME_BACK = 1.0
+PATH_SAFE = "/:@!$&'()*+,;=~"
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -71,6 +73,13 @@
         running = self.running[name] = Running(call, peer, deadline)
         try:
             peer.post(await self._outcome(running))
+        except Exception:  # noqa: BLE001
+            # One call that cannot be handled must not end the process, and
+            # with it the calls of others; whether it ran is not known here.
+            logger.exception("a call of {} failed", call.service)
+            detail = "the side process could not handle the call; see its log"
+            ran = Ran.UNKNOWN if running.started else Ran.NO
+            peer.post(refused(call, Refusal.OUTCOME_UNKNOWN, ran, detail, COME_BACK))
         finally:
             del self.running[name]
 
@@ -147,7 +156,9 @@
         return Answer(call.request, call.attempt, status, headers, body)
 
     async def _request(self, call: Call, left: float) -> httpx.Response:
-        url = call.path + (f"?{call.query}" if call.query else "")
+        url = quote(call.path, safe=PATH_SAFE)
+        if call.query:
+            url += f"?{call.query}"
         headers = _end_to_end([(h.name, h.value) for h in call.headers])
         return await self._client.request(
             call.method, url, headers=headers, content=call.body, timeout=left
--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -192,6 +192,7 @@
             "calls = [",
             '  {method = "POST", path = "/bookings", idempotent = false},',
             '  {method = "GET", path = "/calendar", idempotent = true},',
+            '  {method = "GET", path = "/venues/*", idempotent = true},',
             "]",
         ]
         for node in self.nodes.values():
--- a/packages/standins/src/hemlockhall_standins/service.py
+++ b/packages/standins/src/hemlockhall_standins/service.py
@@ -28,6 +28,7 @@
         app = App(Faults())
         app.route("POST", "/bookings")(self._book)
         app.route("GET", "/calendar")(self._calendar)
+        app.route("GET", "/venues/(.*)")(self._venue)
         app.route("GET", "/tally")(self._tally)
         return app
 
@@ -41,6 +42,9 @@
         self.reads += 1
         return Response({"recitals": ["2026-12-06", "2026-12-13"], "q": req.query})
 
+    async def _venue(self, req: Request) -> Response:
+        return Response({"venue": req.groups[0]})
+
     async def _tally(self, req: Request) -> Response:
         what = [booking.what for booking in self.booked]
         return Response({"bookings": len(what), "what": what, "reads": self.reads})
--- a/tests/daemon/process/test_web.py
+++ b/tests/daemon/process/test_web.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
+from urllib.parse import unquote
 
 import httpx
 import pynng
@@ -142,6 +143,14 @@
         assert booked.headers["x-service"] == "booking"
         assert booked.json()["what"] == [1]
 
+    # The path cannot stand in a URL as it is. The side process must pass it
+    # on or refuse it, and live on for its other callers.
+    @pytest.mark.parametrize("part", ["a%00b", "%7F", "a b", "%C3%A9", "x%3Fy"])
+    def test_odd_paths(self, client: httpx.Client, part: str) -> None:
+        response = client.get(f"/services/booking/venues/{part}")
+        assert response.status_code == 200, response.text
+        assert response.json()["venue"] == unquote(part)
+
     def test_no_endpoint_left(self, deployment: Deployment) -> None:
         deployment.kill("loft-1")
         with deployment.client() as client:
