Hold a stage's work until its successor said what it lacks; split modules

Cause: after a repair a stage could step its engine before the need of the next stage came; if that need lay before what was retained, the rewind met a step under way and the attempt failed once more. Seen by reading.

--- a/features/pipeline.feature
+++ b/features/pipeline.feature
@@ -19,6 +19,7 @@
     Then the answer is whole and the same
     And each token ran through every layer once, in order
     And the counter retries of peer_lost moved at an entry host
+    And the surviving engines ran at most 3 positions again
     When the killed side process is replaced
     Then the engines' slots are free
 
@@ -61,3 +62,39 @@
     Then an answer streamed now is whole and the same
     And each token ran through every layer once, in order
     And the engines' slots are free
+
+  # As in the first failure, but the first stage retained nothing: it runs its
+  # layers again, for the inputs of the new middle stage.
+  Scenario: A stage is killed and nothing was retained
+    Given a deployment of two pipelines that retains nothing
+    And an undisturbed answer of 30 tokens
+    When the same answer is streamed and at token 10 the side process of stage 2 is killed
+    Then the answer is whole and the same
+    And each token ran through every layer once, in order
+
+  # Two stages of one pipeline are lost at the same moment. Whichever loss is
+  # seen first, the repair runs into the other one and is repaired again.
+  Scenario: Two stages are killed at once
+    Given a deployment of two pipelines
+    And an undisturbed answer of 30 tokens
+    When the same answer is streamed and at token 10 stages 2 and 3 are killed
+    Then the answer is whole and the same
+    And each token ran through every layer once, in order
+
+  # The second loss comes while the first is being repaired: the stage is
+  # frozen, so its loss shows only after the repair has begun.
+  Scenario: A stage is killed and another frozen at once
+    Given a deployment of two pipelines
+    And an undisturbed answer of 30 tokens
+    When the same answer is streamed and at token 10 stage 2 is killed and stage 3 frozen
+    Then the answer is whole and the same
+    And each token ran through every layer once, in order
+
+  # The prompt is on its way through the stages when one of them is killed; no
+  # token has been delivered yet.
+  Scenario: A stage is killed in prefill
+    Given a deployment of two pipelines
+    And an undisturbed answer of 8 tokens
+    When the same answer is asked for and stage 2 is killed in prefill
+    Then the answer is whole and the same
+    And each token ran through every layer once, in order
--- a/packages/core/src/hemlockhall_core/connection/link.py
+++ b/packages/core/src/hemlockhall_core/connection/link.py
@@ -141,6 +141,8 @@
         """Return the peer of that name, connecting to it if it is new."""
         peer = self.peers.get(name)
         if peer is not None:
+            if not peer.alive and peer.address != address:
+                peer.move(address)
             return peer
         peer = Peer(name, address, self, asyncio.get_running_loop())
         self.peers[name] = peer
--- a/packages/core/src/hemlockhall_core/connection/peer.py
+++ b/packages/core/src/hemlockhall_core/connection/peer.py
@@ -112,6 +112,11 @@
         """Let the sending task look at its state now."""
         self._wake.set()
 
+    def move(self, address: str) -> None:
+        """Connect to another address: the host was replaced."""
+        self.address = address
+        self._dial()
+
     def close(self) -> None:
         """End the sending task and its connection."""
         self._closed = True
@@ -126,8 +131,7 @@
         if batch.boot != self.boot:
             self._restarted(batch)
         if batch.address != self.address:
-            self.address = batch.address
-            self._dial()
+            self.move(batch.address)
         self.state = batch.state
         self.version = batch.version
         self.load = batch.load
--- /dev/null
+++ b/packages/daemon/src/hemlockhalld/process/outlet.py
@@ -0,0 +1,122 @@
+"""What the stages at an endpoint send: to other stages and to entry hosts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from loguru import logger
+
+from hemlockhall_core.connection.error import QueueFullError
+from hemlockhall_core.connection.frame import Failed, Final, Frame, Hop, Loop, Need
+from hemlockhall_core.request.checksum import checksum
+from hemlockhall_core.request.reason import Retry
+
+if TYPE_CHECKING:
+    from hemlockhall_core.connection.frame import AnyMessage, Open, Stop
+    from hemlockhall_core.connection.link import Link
+    from hemlockhalld.request.stage import Stage
+
+
+class Outlet:
+    """Sends for the stages at one endpoint.
+
+    A message to a stage that is dead or has too many waiting is not kept:
+    the entry host is told that the attempt failed there.
+
+    Parameters
+    ----------
+    link : Link
+        Connections to the other processes.
+    """
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+
+    def pass_on(self, stage: Stage) -> None:
+        """Open the attempt at the next stage; it does not need the prompt."""
+        message = stage.open
+        opening = msgspec.structs.replace(message, index=message.index + 1, prompt="")
+        self._to_stage(stage, stage.following, opening)
+
+    def need(self, stage: Stage) -> None:
+        """Ask the stage before for what is not here yet."""
+        message = Need(stage.open.request, stage.open.attempt, stage.length)
+        self._to_stage(stage, stage.previous, message)
+
+    def forward(self, stage: Stage) -> None:
+        """Send the next stage the outputs that it lacks."""
+        start = stage.sent
+        outputs = stage.unsent()
+        if not outputs:
+            return
+        hop = Hop(
+            stage.open.request,
+            stage.open.attempt,
+            stage.here.last,
+            start,
+            stage.prompt_length,
+            outputs,
+        )
+        self._to_stage(stage, stage.following, hop)
+
+    def emit(self, stage: Stage, start: int) -> None:
+        """Send tokens from number ``start`` on to the entry host.
+
+        All but the final one go to the first stage as well, to go on with.
+        """
+        message = stage.open
+        for index in range(start, len(stage.tokens)):
+            frame = _frame(stage, index)
+            self._to_entry(message, frame)
+            if frame.final is not None or stage.first:
+                continue
+            loop = Loop(message.request, message.attempt, index, frame.token)
+            self._to_stage(stage, stage.following, loop)
+
+    def fail(self, stage: Stage, reason: Retry, endpoint: str) -> None:
+        """Tell the entry host that the attempt cannot go on at ``endpoint``."""
+        self.tell_failure(stage.open, reason, endpoint)
+
+    def tell_failure(self, message: Open, reason: Retry, endpoint: str) -> None:
+        """Tell the entry host that an attempt failed or did not start."""
+        failed = Failed(message.request, message.attempt, endpoint, reason.value)
+        self._to_entry(message, failed)
+
+    def _to_stage(self, stage: Stage, stop: Stop, message: AnyMessage) -> None:
+        if not self._send(stop.endpoint, stop.address, message):
+            self.fail(stage, Retry.PEER_LOST, stop.endpoint)
+
+    def _to_entry(self, message: Open, news: AnyMessage) -> None:
+        self._send(message.entry, message.entry_address, news)
+
+    def _send(self, name: str, address: str, message: AnyMessage) -> bool:
+        peer = self._link.peer(name, address)
+        if not peer.alive:
+            return False
+        try:
+            peer.post(message)
+        except QueueFullError as exc:
+            logger.bind(peer=name).warning("{}", exc)
+            return False
+        return True
+
+
+def _frame(stage: Stage, index: int) -> Frame:
+    final = None
+    if stage.finish and index == len(stage.tokens) - 1:
+        final = Final(len(stage.tokens), checksum(stage.tokens), stage.finish)
+    return Frame(
+        stage.open.request,
+        stage.open.attempt,
+        index,
+        stage.tokens[index],
+        stage.texts[index],
+        stage.prompt_length,
+        final,
+    )
+
+
+__all__ = [
+    "Outlet",
+]
--- a/packages/daemon/src/hemlockhalld/process/side.py
+++ b/packages/daemon/src/hemlockhalld/process/side.py
@@ -110,7 +110,7 @@
             self._call(peer, message)
         elif isinstance(message, Withdraw):
             self._calls.withdraw(message)
-        elif isinstance(message, Drain):
+        elif isinstance(message, Drain) and message.endpoint == self.link.name:
             peer.post(DrainTaken(self.link.name, self.in_flight()))
             self.leave()
 
--- a/packages/daemon/src/hemlockhalld/process/stages.py
+++ b/packages/daemon/src/hemlockhalld/process/stages.py
@@ -8,30 +8,25 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import msgspec
 from loguru import logger
 
-from hemlockhall_core.connection.error import QueueFullError
 from hemlockhall_core.connection.frame import (
     Close,
     Failed,
-    Final,
-    Frame,
     Hop,
     Loop,
     Need,
     Open,
     Probe,
 )
-from hemlockhall_core.request.checksum import checksum
 from hemlockhall_core.request.reason import Retry
 from hemlockhalld.process.engine import EngineError
+from hemlockhalld.process.outlet import Outlet
 from hemlockhalld.request.stage import GapError, Stage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hemlockhall_core.connection.frame import AnyMessage
     from hemlockhall_core.connection.link import Link
     from hemlockhall_core.process.metric import Metrics
     from hemlockhalld.process.engine import Engine, Item, Result
@@ -61,7 +56,8 @@
         self.requests: dict[str, Stage] = {}
         self.failing = False
         self.changed: Callable[[], None] = lambda: None
-        self._link = link
+        self._name = link.name
+        self._outlet = Outlet(link)
         self._engine = engine
         self._metrics = metrics
         self._retain_bytes = retain_bytes
@@ -74,8 +70,7 @@
     def refuse(self, message: Open, reason: Retry) -> None:
         """Tell the entry host that an attempt does not start here."""
         here = message.route[message.index].endpoint
-        failed = Failed(message.request, message.attempt, here, reason.value)
-        self._send(message.entry, message.entry_address, failed)
+        self._outlet.tell_failure(message, reason, here)
 
     def open(self, message: Open) -> None:
         """Begin an attempt here and pass it on to the next stage."""
@@ -103,16 +98,11 @@
         stage.adopt(message)
         self._retained += _size(stage) - before
         if not stage.last:
-            following = msgspec.structs.replace(
-                message, index=message.index + 1, prompt=""
-            )
-            self._post(stage, following)
+            self._outlet.pass_on(stage)
         if message.resume and not stage.first:
-            previous = stage.previous
-            need = Need(message.request, message.attempt, stage.length)
-            self._send(previous.endpoint, previous.address, need, stage)
+            self._outlet.need(stage)
         if stage.last:
-            self._emit(stage, len(message.known))
+            self._outlet.emit(stage, len(message.known))
         self._offer(stage)
 
     def hop(self, message: Hop) -> None:
@@ -121,13 +111,13 @@
         if stage is None:
             return
         if message.layer != stage.here.first:
-            self._fail(stage, Retry.HOP_GAP, stage.here.endpoint)
+            self._outlet.fail(stage, Retry.HOP_GAP, stage.here.endpoint)
             return
         try:
             fresh = stage.take_hop(message)
         except GapError as exc:
             logger.bind(request=message.request).warning("gap in hops: {}", exc)
-            self._fail(stage, Retry.HOP_GAP, stage.here.endpoint)
+            self._outlet.fail(stage, Retry.HOP_GAP, stage.here.endpoint)
             return
         if not fresh:
             self._metrics.guard("hop_repeated")
@@ -143,7 +133,7 @@
             self._metrics.guard("loop_repeated")
             return
         if message.index > len(stage.tokens):
-            self._fail(stage, Retry.HOP_GAP, stage.here.endpoint)
+            self._outlet.fail(stage, Retry.HOP_GAP, stage.here.endpoint)
             return
         stage.tokens.append(message.token)
         self._offer(stage)
@@ -156,17 +146,18 @@
         stage.need_awaited = False
         stage.sent = message.position
         if message.position >= stage.base:
-            self._forward(stage)
+            self._outlet.forward(stage)
+            self._offer(stage)
             return
         # The outputs are not retained any more: run the layers here again
         # from that position, on inputs that come from the stage before.
         logger.bind(request=message.request).info("recomputing from a need")
+        before = _size(stage)
         stage.rewind(message.position)
+        self._retained += _size(stage) - before
         stage.inputs.clear()
         if not stage.first:
-            previous = stage.previous
-            need = Need(message.request, message.attempt, message.position)
-            self._send(previous.endpoint, previous.address, need, stage)
+            self._outlet.need(stage)
         self._offer(stage)
 
     def probe(self, message: Probe) -> Failed | None:
@@ -175,7 +166,7 @@
         if stage is not None and message.attempt <= _latest(stage):
             return None
         reason = Retry.REQUEST_LOST.value
-        return Failed(message.request, message.attempt, self._link.name, reason)
+        return Failed(message.request, message.attempt, self._name, reason)
 
     def close(self, message: Close) -> None:
         """Forget a request and free its slot."""
@@ -195,7 +186,7 @@
                 continue
             for stop in stage.open.route:
                 if stop.endpoint == name:
-                    self._fail(stage, Retry.PEER_LOST, name)
+                    self._outlet.fail(stage, Retry.PEER_LOST, name)
                     break
 
     async def run(self) -> None:
@@ -279,7 +270,7 @@
         if result.error:
             stage.running = 0
             logger.bind(request=result.request).warning("engine: {}", result.error)
-            self._fail(stage, Retry.ENGINE_FAILED, stage.here.endpoint)
+            self._outlet.fail(stage, Retry.ENGINE_FAILED, stage.here.endpoint)
             return
         before = _size(stage)
         stage.done(result)
@@ -288,49 +279,12 @@
             self._begin(stage, stage.next_open)
             return
         if result.token is not None:
-            self._emit(stage, len(stage.tokens) - 1)
-        self._forward(stage)
+            self._outlet.emit(stage, len(stage.tokens) - 1)
+        self._outlet.forward(stage)
         self._offer(stage)
         if self._retained > self._retain_bytes:
             self._release()
 
-    def _emit(self, stage: Stage, start: int) -> None:
-        """Send tokens from number ``start`` on to the entry host."""
-        message = stage.open
-        for index in range(start, len(stage.tokens)):
-            final = None
-            if stage.finish and index == len(stage.tokens) - 1:
-                total = checksum(stage.tokens)
-                final = Final(len(stage.tokens), total, stage.finish)
-            token = stage.tokens[index]
-            frame = Frame(
-                message.request,
-                message.attempt,
-                index,
-                token,
-                stage.texts[index],
-                stage.prompt_length,
-                final,
-            )
-            self._send(message.entry, message.entry_address, frame)
-            if final is None and not stage.first:
-                self._post(stage, Loop(message.request, message.attempt, index, token))
-
-    def _forward(self, stage: Stage) -> None:
-        start = stage.sent
-        outputs = stage.unsent()
-        if not outputs:
-            return
-        hop = Hop(
-            stage.open.request,
-            stage.open.attempt,
-            stage.here.last,
-            start,
-            stage.prompt_length,
-            outputs,
-        )
-        self._post(stage, hop)
-
     def _offer(self, stage: Stage) -> None:
         if not stage.finish:
             self._ready[stage.open.request] = None
@@ -352,32 +306,6 @@
             if self._retained <= self._retain_bytes // 2:
                 return
 
-    def _post(self, stage: Stage, message: AnyMessage) -> None:
-        following = stage.following
-        self._send(following.endpoint, following.address, message, stage)
-
-    def _send(
-        self,
-        name: str,
-        address: str,
-        message: AnyMessage,
-        stage: Stage | None = None,
-    ) -> None:
-        peer = self._link.peer(name, address)
-        try:
-            if peer.alive:
-                peer.post(message)
-                return
-        except QueueFullError:
-            logger.bind(peer=name).warning("too many messages wait")
-        if stage is not None:
-            self._fail(stage, Retry.PEER_LOST, name)
-
-    def _fail(self, stage: Stage, reason: Retry, endpoint: str) -> None:
-        message = stage.open
-        failed = Failed(message.request, message.attempt, endpoint, reason.value)
-        self._send(message.entry, message.entry_address, failed)
-
     def _drop(self, stage: Stage) -> None:
         request = stage.open.request
         if self.requests.pop(request, None) is None:
@@ -394,7 +322,7 @@
         logger.warning("engine lost: {}", exc)
         self.failing = True
         for stage in list(self.requests.values()):
-            self._fail(stage, Retry.ENGINE_FAILED, stage.here.endpoint)
+            self._outlet.fail(stage, Retry.ENGINE_FAILED, stage.here.endpoint)
             self._drop(stage)
         self.changed()
         await self._reset()
--- a/packages/daemon/src/hemlockhalld/process/web.py
+++ b/packages/daemon/src/hemlockhalld/process/web.py
@@ -10,21 +10,22 @@
 
 import anyio
 import msgspec
-from loguru import logger
 
 from hemlockhall_core.connection.frame import Call, Header
 from hemlockhall_core.request.reason import Ran, Refusal
-from hemlockhalld.process.admin import lifespan, respond
+from hemlockhalld.process.admin import lifespan
 from hemlockhalld.request.answer import (
     DONE,
     ChatFormat,
     Format,
+    ModelEntry,
+    ModelList,
     TextFormat,
-    error_event,
 )
 from hemlockhalld.request.body import ChatBody, CompletionBody, ModelBody, read_body
 from hemlockhalld.request.generation import Work
-from hemlockhalld.request.problem import CONTENT_TYPE, Problem
+from hemlockhalld.request.problem import Problem
+from hemlockhalld.request.sender import Sender
 
 if TYPE_CHECKING:
     from hemlockhall_core.version.document import Customer
@@ -284,76 +285,6 @@
         self._entry.metrics.request("answered")
 
 
-class ModelEntry(msgspec.Struct):
-    """A model in the list of models."""
-
-    id: str
-    object: str = "model"
-    created: int = 0
-    owned_by: str = "hemlockhall"
-
-
-class ModelList(msgspec.Struct):
-    """Answer of ``/v1/models``."""
-
-    data: list[ModelEntry]
-    object: str = "list"
-
-
-class Sender:
-    """Sends one answer; knows whether it has begun."""
-
-    def __init__(self, send: Any, entry: Entry) -> None:
-        self._send = send
-        self._entry = entry
-        self._streaming = False
-
-    def _closing(self) -> tuple[tuple[bytes, bytes], ...]:
-        # A client that keeps its connection to a host that is leaving would
-        # see its next request cut off.
-        return ((b"connection", b"close"),) if self._entry.leaving else ()
-
-    async def raw(
-        self, status: int, body: bytes, headers: tuple[tuple[bytes, bytes], ...]
-    ) -> None:
-        """Send a whole answer with given headers."""
-        headers = (*headers, *self._closing())
-        start = {"type": "http.response.start", "status": status, "headers": headers}
-        await self._send(start)
-        await self._send({"type": "http.response.body", "body": body})
-
-    async def whole(self, status: int, body: bytes, content_type: str) -> None:
-        """Send a whole answer."""
-        await respond(self._send, status, body, content_type, self._closing())
-
-    async def event(self, data: bytes, *, last: bool = False) -> None:
-        """Send one server-sent event; the first one begins the answer."""
-        if not self._streaming:
-            self._streaming = True
-            headers = (
-                (b"content-type", b"text/event-stream"),
-                (b"cache-control", b"no-cache"),
-                *self._closing(),
-            )
-            start = {"type": "http.response.start", "status": 200, "headers": headers}
-            await self._send(start)
-        body = {"type": "http.response.body", "body": data, "more_body": not last}
-        await self._send(body)
-
-    async def problem(self, problem: Problem) -> None:
-        """Send a refusal; inside a stream it is the last event, without DONE."""
-        self._entry.metrics.refusal(problem.reason)
-        self._entry.metrics.request("refused")
-        logger.bind(reason=problem.reason.value, ran=problem.ran.value).info(
-            "refused: {}", problem.detail
-        )
-        if self._streaming:
-            await self.event(error_event(problem), last=True)
-            return
-        headers = (*problem.headers(), *self._closing())
-        await respond(self._send, problem.status, problem.body(), CONTENT_TYPE, headers)
-
-
 async def _watch(receive: Any, scope: anyio.CancelScope) -> None:
     """Cancel the request when its caller leaves."""
     while True:
--- a/packages/daemon/src/hemlockhalld/request/answer.py
+++ b/packages/daemon/src/hemlockhalld/request/answer.py
@@ -122,6 +122,22 @@
         return Choice(0, finish, text=text)
 
 
+class ModelEntry(msgspec.Struct):
+    """A model in the list of models."""
+
+    id: str
+    object: str = "model"
+    created: int = 0
+    owned_by: str = "hemlockhall"
+
+
+class ModelList(msgspec.Struct):
+    """Answer of ``/v1/models``."""
+
+    data: list[ModelEntry]
+    object: str = "list"
+
+
 def error_event(problem: Problem) -> bytes:
     """Return the event that ends a stream which cannot be completed."""
     return b'data: {"error":' + problem.body() + b"}\n\n"
@@ -131,6 +147,8 @@
     "DONE",
     "ChatFormat",
     "Format",
+    "ModelEntry",
+    "ModelList",
     "TextFormat",
     "error_event",
 ]
--- a/packages/daemon/src/hemlockhalld/request/stage.py
+++ b/packages/daemon/src/hemlockhalld/request/stage.py
@@ -111,7 +111,9 @@
 
     def item(self) -> Item | None:
         """Return the work that can be done now, or None."""
-        if self.running:
+        # Until the next stage has said what it lacks, a rewind may come; a
+        # step under way could then append positions that are to be run again.
+        if self.running or self.need_awaited:
             return None
         item = Item(
             self.open.request,
--- a/tests/daemon/process/test_stages.py
+++ b/tests/daemon/process/test_stages.py
@@ -35,6 +35,7 @@
 class FakeLink:
     """Peers by name."""
 
+    name: str = "b"
     peers: dict[str, FakePeer] = field(default_factory=dict)
 
     def peer(self, name: str, address: str) -> FakePeer:
