Measure what an entry host adds; mend what the type checker found

Cause: mypy named a variable used outside its except block and two lambdas in a loop; none was wrong at run time.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= 3
 STAMP := .venv/.ready
 
-.PHONY: setup demo demo-stay test lint format bench-recovery bench-throughput bench-control
+.PHONY: setup demo demo-stay test lint format bench-recovery bench-throughput bench-control bench-batching bench-overhead
 
 setup: $(STAMP)
 
@@ -40,3 +40,9 @@
 
 bench-control: setup
 	$(BIN)/python -m hemlockhall_standins.bench.control
+
+bench-batching: setup
+	$(BIN)/python -m hemlockhall_standins.bench.batching
+
+bench-overhead: setup
+	$(BIN)/python -m hemlockhall_standins.bench.overhead
--- a/packages/daemon/src/hemlockhalld/main.py
+++ b/packages/daemon/src/hemlockhalld/main.py
@@ -79,8 +79,8 @@
     try:
         anyio.run(process.run)
     except* (LinkError, OSError) as group:
-        for exc in group.exceptions:
-            logger.error("{}", exc)
+        for error in group.exceptions:
+            logger.error("{}", error)
         sys.exit(1)
 
 
--- a/packages/standins/src/hemlockhall_standins/bench/recovery.py
+++ b/packages/standins/src/hemlockhall_standins/bench/recovery.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from dataclasses import asdict, dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING
 
 import httpx
@@ -96,8 +97,8 @@
         for name in [n for n in self.deployment.nodes if n.startswith(row)]:
             self.deployment.kill(name)
             self.deployment.kill(f"{name}/back-end")
-            self.mend.append(lambda n=name: self.deployment.start_back_end(n))
-            self.mend.append(lambda n=name: self.deployment.start_side(n))
+            self.mend.append(partial(self.deployment.start_back_end, name))
+            self.mend.append(partial(self.deployment.start_side, name))
 
     def run(self, fault: str) -> float | None:
         """Return the time to the next token, or None if the request was lost."""
--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -245,7 +245,7 @@
             args: tuple[str, ...] = ("service", *listen, "--name", plan.service)
         else:
             layers = ("--first", str(plan.first), "--last", str(plan.last))
-            speed = ("--step-s", str(self.step_s))
+            speed: tuple[str, ...] = ("--step-s", str(self.step_s))
             cost = self.token_layer_s / plan.speed
             speed += ("--token-layer-s", str(cost))
             args = ("engine", *listen, *layers, *speed)
