Send fewer heartbeats to peers without messages

Cause: heartbeats at 0.3 s to every peer are the largest part of what control costs an idle process; most peers share no request at any moment. Ruled out: larger batches, since an idle peer's batch is a bare header; a longer interval for all, since detection of a frozen stage follows from it.

--- a/packages/core/src/hemlockhall_core/connection/peer.py
+++ b/packages/core/src/hemlockhall_core/connection/peer.py
@@ -32,6 +32,7 @@
 SEND_TIMEOUT = 0.25
 RECONNECT_MS = 50
 MAX_RECONNECT_MS = 500
+IDLE_AFTER = 2.0
 
 
 @dataclass
@@ -40,10 +41,12 @@
 
     ``renew`` is the silence after which a new connection is opened, ``dead``
     the silence after which the peer is taken for dead, and ``refused`` how
-    long a closed connection may stay without a successor.
+    long a closed connection may stay without a successor. A peer without
+    messages either way gets a heartbeat each ``idle`` only.
     """
 
     heartbeat: float = 0.3
+    idle: float = 1.5
     renew: float = 0.7
     dead: float = 1.6
     refused: float = 0.25
@@ -84,6 +87,8 @@
     _ask_renew: bool = False
     _ack_due_at: float | None = None
     _heartbeat_at: float = 0.0
+    _traffic_at: float = 0.0
+    _busy_since: float = 0.0
     _wake: anyio.Event = field(default_factory=anyio.Event)
     _closed: bool = False
 
@@ -143,6 +148,7 @@
         self._acknowledged(batch.ack)
         if batch.seq == 0:
             return False
+        self._note_traffic(now)
         self._schedule_ack(now)
         # A batch sent again on a new connection, or held up on an old one,
         # must not run its messages twice: only the next number is taken. A
@@ -191,9 +197,28 @@
         if self._sock is not None:
             self._sock.close()
 
+    def _note_traffic(self, now: float) -> None:
+        """Note a numbered batch, sent or received; both ends see it."""
+        if now - self._traffic_at > IDLE_AFTER:
+            self._busy_since = now
+        self._traffic_at = now
+
+    def _busy(self, now: float) -> bool:
+        return bool(self._unacked) or now - self._traffic_at < IDLE_AFTER
+
+    def _interval(self, now: float) -> float:
+        """Return the seconds to the next heartbeat.
+
+        Most peers of a process have no request in common with it at any
+        moment. Heartbeats at the full rate to all of them would be the
+        largest part of what control costs.
+        """
+        timing = self.link.timing
+        return timing.heartbeat if self._busy(now) else timing.idle
+
     def _due_at(self) -> float:
         now = time.monotonic()
-        due = self._heartbeat_at
+        due = min(self._heartbeat_at, now + self.link.timing.heartbeat)
         if self._ack_due_at is not None:
             due = min(due, self._ack_due_at)
         if self._lost_pipe_at is not None and self.alive:
@@ -255,7 +280,13 @@
         if self.alive and lost is not None and now - lost > timing.refused:
             self._dead()
             return
-        silent = now - self.heard_at
+        busy = self._busy(now)
+        # An idle peer may be silent for longer. When it becomes busy, the
+        # silence before that must not be held against it: it would be taken
+        # for dead with the first message.
+        slack = 0.0 if busy else timing.idle - timing.heartbeat
+        quiet = now - max(self.heard_at, self._busy_since if busy else 0.0) - slack
+        silent = quiet
         oldest = self._unacked[0].sent_at if self._unacked else 0.0
         if self.boot and oldest:
             silent = max(silent, now - oldest)
@@ -264,7 +295,7 @@
         # connection each way is enough, as unacknowledged batches are kept.
         if silent > timing.renew and now - self._renewed_at > timing.renew:
             self._renew(asked=False)
-        if self.alive and now - self.heard_at > timing.dead:
+        if self.alive and quiet > timing.dead:
             self._dead()
 
     def _dead(self) -> None:
@@ -274,7 +305,8 @@
 
     async def _send_due(self) -> None:
         if not self._connected:
-            self._heartbeat_at = time.monotonic() + self.link.timing.heartbeat
+            now = time.monotonic()
+            self._heartbeat_at = now + self._interval(now)
             return
         self._cut()
         sent = False
@@ -298,6 +330,7 @@
             count = min(MAX_BATCH, len(self._outbox))
             messages = [self._outbox.popleft() for _ in range(count)]
             self._seq += 1
+            self._note_traffic(time.monotonic())
             self._unacked.append(Unacked(self._seq, messages))
 
     async def _send(self, seq: int, messages: list[AnyMessage]) -> bool:
@@ -315,7 +348,8 @@
             return False
         self._ask_renew = False
         self._ack_due_at = None
-        self._heartbeat_at = time.monotonic() + self.link.timing.heartbeat
+        now = time.monotonic()
+        self._heartbeat_at = now + self._interval(now)
         self.link.count_sent(len(data))
         return True
 
--- a/packages/core/src/hemlockhall_core/process/setting.py
+++ b/packages/core/src/hemlockhall_core/process/setting.py
@@ -46,6 +46,7 @@
     address: Address
     advertise: Address | None = None
     heartbeat_s: Seconds = 0.3
+    idle_s: Seconds = 1.5
     renew_s: Seconds = 0.7
     dead_s: Seconds = 1.6
     refused_s: Seconds = 0.25
--- a/packages/daemon/src/hemlockhalld/process/base.py
+++ b/packages/daemon/src/hemlockhalld/process/base.py
@@ -50,7 +50,11 @@
         self.holder = Holder(wanted, self.metrics, self.adopted)
         section = settings.link
         timing = Timing(
-            section.heartbeat_s, section.renew_s, section.dead_s, section.refused_s
+            section.heartbeat_s,
+            section.idle_s,
+            section.renew_s,
+            section.dead_s,
+            section.refused_s,
         )
         address = section.advertise or section.address
         name = settings.process.name
--- a/tests/core/connection/test_peer.py
+++ b/tests/core/connection/test_peer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -80,6 +81,39 @@
         assert len(peer._unacked) == 0
 
 
+class TestJudge:
+    def silent_for(self, peer: Peer, seconds: float) -> None:
+        peer.heard(batch(0))
+        peer.heard_at = time.monotonic() - seconds
+        peer._renewed_at = time.monotonic()
+        peer._judge()
+
+    def test_an_idle_peer_may_be_silent_for_longer(self, peer: Peer) -> None:
+        timing = peer.link.timing
+        self.silent_for(peer, timing.dead + 0.1)
+        assert peer.alive
+        self.silent_for(peer, timing.dead + timing.idle)
+        assert not peer.alive
+
+    def test_a_busy_peer_must_not(self, peer: Peer) -> None:
+        timing = peer.link.timing
+        peer._traffic_at = time.monotonic()
+        peer._busy_since = time.monotonic() - 60
+        self.silent_for(peer, timing.dead + 0.1)
+        assert not peer.alive
+
+    # The peer was idle and silent for as long as it may be; now a request is
+    # posted. It must get the time to answer, or the request would be moved
+    # from a healthy endpoint before it was sent.
+    def test_a_peer_that_becomes_busy_is_given_time(self, peer: Peer) -> None:
+        timing = peer.link.timing
+        peer.heard(batch(0))
+        peer.post(Close("r", 1))
+        peer._cut()
+        self.silent_for(peer, timing.dead + timing.idle / 2)
+        assert peer.alive
+
+
 class TestPost:
     def test_a_full_queue_is_an_error(self, peer: Peer) -> None:
         for number in range(MAX_QUEUED):
