Do not spin with an acknowledgement owed to a dead peer

Cause: the sending task slept until its earliest due time, and an owed acknowledgement kept that in the past while there was no connection, so the task woke a thousand times a second until the peer was back. Seen by reading. Ruled out: the heartbeat, which is moved on without a connection. Before: test_an_owed_acknowledgement_waits_for_a_connection, 1 failed, 14 passed. After: 23 passed with the request tests. Also: a full queue towards a peer becomes a repair or a refusal instead of an error of the link; the document's keys 'weight' and 'fencing', which had no effect, are gone.

--- a/packages/core/src/hemlockhall_core/connection/link.py
+++ b/packages/core/src/hemlockhall_core/connection/link.py
@@ -159,8 +159,7 @@
     def announce(self) -> None:
         """Let each peer hear a changed state or version at once."""
         for peer in self.peers.values():
-            peer._heartbeat_at = 0.0
-            peer.wake()
+            peer.announce()
 
     def stamp(
         self, peer: Peer, seq: int, messages: list[AnyMessage], *, renew: bool
--- a/packages/core/src/hemlockhall_core/connection/peer.py
+++ b/packages/core/src/hemlockhall_core/connection/peer.py
@@ -113,8 +113,9 @@
             return False
         return True
 
-    def wake(self) -> None:
-        """Let the sending task look at its state now."""
+    def announce(self) -> None:
+        """Send this process's state and version now."""
+        self._heartbeat_at = 0.0
         self._wake.set()
 
     def move(self, address: str) -> None:
@@ -305,6 +306,8 @@
 
     async def _send_due(self) -> None:
         if not self._connected:
+            # The first batch on the next connection carries what is owed.
+            self._ack_due_at = None
             now = time.monotonic()
             self._heartbeat_at = now + self._interval(now)
             return
--- a/packages/core/src/hemlockhall_core/version/document.py
+++ b/packages/core/src/hemlockhall_core/version/document.py
@@ -49,7 +49,6 @@
     priority: str
     rate_per_s: Positive
     concurrency: Count
-    weight: Positive = 1.0
 
 
 class EndpointEntry(Entry):
@@ -62,7 +61,6 @@
     model: str | None = None
     layers: Annotated[list[int], Field(min_length=2, max_length=2)] | None = None
     service: str | None = None
-    fencing: Literal["refuses", "ignores"] = "refuses"
 
 
 class CallRule(Entry):
@@ -115,7 +113,6 @@
     rank: int
     rate: float
     concurrency: int
-    weight: float
 
 
 @dataclass(frozen=True)
@@ -271,7 +268,6 @@
             model.priorities[customer.priority].rank,
             customer.rate_per_s,
             customer.concurrency,
-            customer.weight,
         )
     for name, endpoint in model.endpoints.items():
         first, last = endpoint.layers or (0, 0)
--- a/packages/daemon/src/hemlockhalld/request/generation.py
+++ b/packages/daemon/src/hemlockhalld/request/generation.py
@@ -11,6 +11,7 @@
 import anyio
 from loguru import logger
 
+from hemlockhall_core.connection.error import QueueFullError
 from hemlockhall_core.connection.frame import (
     Close,
     Failed,
@@ -191,7 +192,11 @@
         )
         if self.ran is Ran.NO:
             self.ran = Ran.UNKNOWN
-        self.link.peer(first.endpoint, first.address).post(message)
+        try:
+            self.link.peer(first.endpoint, first.address).post(message)
+        except QueueFullError:
+            self._avoid.add(first.endpoint)
+            self._retry = Retry.PEER_LOST
 
     def _close_others(self) -> None:
         used = {stop.endpoint for stop in self.route}
--- a/packages/daemon/src/hemlockhalld/request/plain.py
+++ b/packages/daemon/src/hemlockhalld/request/plain.py
@@ -11,6 +11,7 @@
 import msgspec
 from loguru import logger
 
+from hemlockhall_core.connection.error import QueueFullError
 from hemlockhall_core.connection.frame import Answer, Call, Refused, Withdraw
 from hemlockhall_core.request.reason import Ran, Refusal, Retry
 from hemlockhalld.request.generation import Lost
@@ -99,7 +100,10 @@
         )
         self.at = endpoint.name
         peer = self.link.peer(endpoint.name, endpoint.address)
-        peer.post(self._sent)
+        try:
+            peer.post(self._sent)
+        except QueueFullError as exc:
+            raise Problem(Refusal.NO_ENDPOINT, str(exc), self.ran, COME_BACK) from exc
         return peer
 
     async def _wait(self, attempt: int) -> Answer | Refused | Lost:
--- a/tests/core/connection/test_peer.py
+++ b/tests/core/connection/test_peer.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import anyio
 import pytest
 
 from hemlockhall_core.connection.error import QueueFullError
@@ -114,6 +115,16 @@
         assert peer.alive
 
 
+class TestDue:
+    # The peer died with an acknowledgement owed to it. The sending task must
+    # not spin until the peer is back: it would take a whole core.
+    def test_an_owed_acknowledgement_waits_for_a_connection(self, peer: Peer) -> None:
+        peer.heard(batch(1))
+        peer._ack_due_at = time.monotonic() - 1
+        anyio.run(peer._send_due)
+        assert peer._due_at() - time.monotonic() > peer.link.timing.heartbeat / 2
+
+
 class TestPost:
     def test_a_full_queue_is_an_error(self, peer: Peer) -> None:
         for number in range(MAX_QUEUED):
--- a/tests/daemon/process/test_limiter.py
+++ b/tests/daemon/process/test_limiter.py
@@ -9,13 +9,13 @@
 from hemlockhalld.process.limiter import Limiter
 from hemlockhalld.request.problem import Problem
 
-CUSTOMER = Customer("parish", 1, 0.001, 4, 1.0)
+CUSTOMER = Customer("parish", 1, 0.001, 4)
 
 
 class TestEnter:
     def test_concurrency_is_shared_by_the_entry_hosts(self) -> None:
         limiter = Limiter(lambda: 2)
-        fast = Customer("parish", 1, 1e6, 4, 1.0)
+        fast = Customer("parish", 1, 1e6, 4)
         limiter.enter(fast)
         limiter.enter(fast)
         with pytest.raises(Problem) as caught:
