Wait for the newer version after a stale one; take unsent calls back

Cause of the first: a side process ahead of its entry host refused the request as stale, and the host tried again at once with the version it had, so all tries were spent in milliseconds. Ruled out: the fetch itself, which answers within one round trip when it is not held back for 0.5 s after another. Cause of the second: the call was forgotten before the loss of its endpoint was judged, so it was never taken back: the caller was told 'unknown', and the call ran when the endpoint was back.

--- a/packages/daemon/src/hemlockhalld/request/generation.py
+++ b/packages/daemon/src/hemlockhalld/request/generation.py
@@ -22,6 +22,7 @@
 )
 from hemlockhall_core.request.checksum import checksum
 from hemlockhall_core.request.reason import Ran, Refusal, Retry
+from hemlockhalld.request.patience import newer_version
 from hemlockhalld.request.problem import Problem
 
 if TYPE_CHECKING:
@@ -102,6 +103,7 @@
     _touched: dict[str, str] = field(default_factory=dict)
     _avoid: set[str] = field(default_factory=set)
     _retry: Retry | None = None
+    _opened_with: int = 0
 
     def __post_init__(self) -> None:
         self._news, self._inbox = anyio.create_memory_object_stream[
@@ -140,6 +142,8 @@
         """Start an attempt; wait for a chain if it is a repair."""
         if self._retry is not None:
             self._count_retry(self._retry)
+        if self._retry is Retry.STALE_VERSION:
+            await newer_version(self.version, self._opened_with, self.work.deadline)
         give_up_at = min(self.work.deadline, time.monotonic() + REPAIR_WAIT)
         while True:
             chain = self.choose(self.work.model, self._avoid)
@@ -172,10 +176,11 @@
         for stop in self.route:
             self._touched[stop.endpoint] = stop.address
         first = self.route[0]
+        self._opened_with = self.version()
         message = Open(
             work.request,
             self.attempt,
-            self.version(),
+            self._opened_with,
             work.model.base,
             work.model.adapter,
             self.route,
--- a/packages/daemon/src/hemlockhalld/request/plain.py
+++ b/packages/daemon/src/hemlockhalld/request/plain.py
@@ -15,6 +15,7 @@
 from hemlockhall_core.connection.frame import Answer, Call, Refused, Withdraw
 from hemlockhall_core.request.reason import Ran, Refusal, Retry
 from hemlockhalld.request.generation import Lost
+from hemlockhalld.request.patience import newer_version
 from hemlockhalld.request.problem import Problem
 
 if TYPE_CHECKING:
@@ -27,7 +28,6 @@
 
 MAX_ATTEMPTS = 4
 COME_BACK = 1.0
-STALE_PAUSE = 0.05
 RETRY_WORDS = frozenset(retry.value for retry in Retry)
 
 
@@ -76,16 +76,17 @@
         for attempt in range(1, MAX_ATTEMPTS + 1):
             peer = self._send(attempt)
             news = await self._wait(attempt)
-            self._sent = None
+            sent, self._sent = self._sent, None
+            assert sent is not None
             if isinstance(news, Answer):
                 return news
-            retry = self._judge(news, peer)
+            retry = self._judge(news, peer, sent)
             self.metrics.retry(retry)
             logger.bind(request=self.call.request, attempt=attempt).info(
                 "trying again: {}", retry.value
             )
             if retry is Retry.STALE_VERSION:
-                await anyio.sleep(STALE_PAUSE)
+                await newer_version(self.version, sent.version, self.deadline)
         detail = f"{MAX_ATTEMPTS} attempts failed"
         raise Problem(Refusal.REPAIR_EXHAUSTED, detail, self.ran, COME_BACK)
 
@@ -131,12 +132,12 @@
         detail = "the deadline passed before the service answered"
         return Problem(Refusal.DEADLINE_EXCEEDED, detail, self.ran, COME_BACK)
 
-    def _judge(self, news: Refused | Lost, peer: Peer) -> Retry:
+    def _judge(self, news: Refused | Lost, peer: Peer, sent: Call) -> Retry:
         """Return why the call is tried again; raise if it must not be."""
         self._avoid.add(self.at)
         if isinstance(news, Lost):
-            sent = self._sent
-            if sent is None or not peer.withdraw(sent):
+            # What waits for a peer that is gone would run when it is back.
+            if not peer.withdraw(sent):
                 self.ran = Ran.UNKNOWN
             return Retry.PEER_RESTARTED if news.restarted else Retry.PEER_LOST
         if news.reason not in RETRY_WORDS:
