End the staying demo by either signal with its processes

Cause: it waited for signals that it had not blocked, so SIGTERM would have ended it without ending the processes that it started. Seen by reading. Measured: after SIGTERM it printed 'ending' and left none of its processes; a curl at the printed address streamed its tokens and [DONE] before.

--- a/packages/standins/src/hemlockhall_standins/demo.py
+++ b/packages/standins/src/hemlockhall_standins/demo.py
@@ -78,7 +78,11 @@
         f"-H 'Authorization: Bearer {API_KEY}' -d '{body}'"
     )
     print("Ctrl-C ends it")
-    signal.sigwait({signal.SIGINT, signal.SIGTERM})
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        print("ending")
 
 
 def main() -> None:
