--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PY ?= python3
 BIN := .venv/bin
-PACKAGES := core daemon cli standins
+PACKAGES := core router daemon cli standins
 JOBS ?= 3
 STAMP := .venv/.ready
 
@@ -8,10 +8,10 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PY) -m venv .venv
 	$(BIN)/pip install --quiet -r requirements.lock
-	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%) -e platform
 	touch $(STAMP)
 
 demo: setup
--- a/packages/daemon/src/hemlockhalld/main.py
+++ b/packages/daemon/src/hemlockhalld/main.py
@@ -10,12 +10,6 @@
 import click
 from loguru import logger
 
-from hemlockhall_core.connection.error import LinkError
-from hemlockhall_core.process.error import SettingsError
-from hemlockhall_core.process.log import configure
-from hemlockhall_core.process.setting import load
-from hemlockhalld.process.chooser import CHOOSERS
-
 if TYPE_CHECKING:
     from hemlockhalld.process.base import Process
 
@@ -52,7 +46,36 @@
     _start(path, "side", check)
 
 
+@main.command()
+@SETTINGS
+@CHECK
+def router(path: Path, check: bool) -> None:
+    """Run a router in front of endpoints that are HTTP servers."""
+    from hemlockhall_router.process.log import configure
+    from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.process.router import Router
+    from hemlockhall_router.process.setting import SettingsError, load_settings
+
+    try:
+        settings = load_settings(path)
+    except SettingsError as exc:
+        raise click.ClickException(str(exc)) from exc
+    if check:
+        click.echo(f"{path}: settings are valid")
+        return
+    metrics = Metrics()
+    configure(settings.host.name, settings.log.level, metrics)
+    anyio.run(Router(path, settings, metrics).run)
+
+
 def _start(path: Path, role: str, check: bool) -> None:
+    # Each role imports only what it needs, to start quickly and stay small.
+    from hemlockhall_core.connection.error import LinkError
+    from hemlockhall_core.process.error import SettingsError
+    from hemlockhall_core.process.log import configure
+    from hemlockhall_core.process.setting import load
+    from hemlockhalld.process.chooser import CHOOSERS
+
     try:
         settings = load(path, role)
         if settings.entry and settings.entry.chooser not in CHOOSERS:
@@ -67,7 +90,6 @@
     log = settings.log
     configure(settings.process.name, level=log.level, json=log.json_lines)
     process: Process
-    # Each role imports only what it needs, to keep its memory small.
     if role == "entry":
         from hemlockhalld.process.entry import Entry
 
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router role: callers in front, HTTP endpoints behind."""
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/connection/error.py
@@ -0,0 +1,42 @@
+"""Errors of connections."""
+
+from __future__ import annotations
+
+
+class WireError(Exception):
+    """Base of what can go wrong on a connection to an endpoint or the store."""
+
+
+class NotSentError(WireError):
+    """No byte of the request left this host, so it cannot have run."""
+
+
+class BrokenError(WireError):
+    """The connection broke or fell silent after bytes of the request left."""
+
+
+class NoHttpError(WireError):
+    """The other side sent bytes that are not an HTTP response."""
+
+
+class CallerError(Exception):
+    """A caller sent what cannot be served; the answer is ``status``."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+        self.text = text
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+__all__ = [
+    "BrokenError",
+    "CallerError",
+    "CallerGoneError",
+    "NoHttpError",
+    "NotSentError",
+    "WireError",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/connection/message.py
@@ -0,0 +1,130 @@
+"""Heads of HTTP messages and their text on the wire."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+def find(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header; ``name`` is in lower case."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def forwardable(headers: Headers) -> Headers:
+    """Return the headers without those that concern one connection only."""
+    dropped = set(HOP_HEADERS)
+    for key, value in headers:
+        if key.lower() != b"connection":
+            continue
+        for name in value.split(b","):
+            dropped.add(name.strip().lower())
+    # A ``Connection`` header may not strip what frames or routes a request.
+    dropped -= {b"host", b"content-length"}
+    return [(key, value) for key, value in headers if key.lower() not in dropped]
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """The head of a caller's request, with its target as sent."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    keep_alive: bool = True
+
+    @property
+    def path(self) -> bytes:
+        """The target without its query."""
+        return self.target.partition(b"?")[0]
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        return find(self.headers, name)
+
+
+@dataclass(slots=True)
+class ResponseHead:
+    """The head of an endpoint's response."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+    keep_alive: bool = True
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        return find(self.headers, name)
+
+
+@dataclass(slots=True)
+class Response:
+    """A response with its complete body."""
+
+    head: ResponseHead
+    body: bytes = field(default=b"", repr=False)
+
+
+def request_text(method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
+    """Return a request as bytes; a body is sent with its length."""
+    lines = [method + b" " + target + b" HTTP/1.1"]
+    for key, value in headers:
+        lines.append(key + b": " + value)
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def response_text(status: int, reason: bytes, headers: Headers) -> bytes:
+    """Return the head of a response as bytes."""
+    reason = reason or REASONS.get(status, b"")
+    lines = [b"HTTP/1.1 %d %s" % (status, reason)]
+    for key, value in headers:
+        lines.append(key + b": " + value)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+__all__ = [
+    "HOP_HEADERS",
+    "Headers",
+    "RequestHead",
+    "Response",
+    "ResponseHead",
+    "find",
+    "forwardable",
+    "request_text",
+    "response_text",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -0,0 +1,139 @@
+"""Choice of an endpoint or of a path for a request."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from hemlockhall_router.version.path import find_path
+
+if TYPE_CHECKING:
+    from hemlockhall_router.process.directory import Directory, Held
+    from hemlockhall_router.version.path import Path
+    from hemlockhall_router.version.routing import Model, Service
+
+# Seconds for which computed paths are used while no endpoint changed.
+PATHS_S = 0.5
+# How much a path to another data centre must be better, per token written.
+FAR_MS = 2.0
+# How strongly the filling of a path counts against its time for a token.
+LOAD_WEIGHT = 3.0
+# Memory a request takes on average, against its full size: it grows while the
+# answer is written.
+USUAL_PART = 0.75
+
+
+class Chooser:
+    """Chooses among the endpoints in the directory."""
+
+    def __init__(self, directory: Directory, home: str) -> None:
+        self._directory = directory
+        self._home = home
+        self._paths: dict[str, list[Path]] = {}
+        self._made: dict[str, tuple[int, int, float]] = {}
+
+    def endpoint(self, service: str, tried: set[str]) -> Held | None:
+        """Return the endpoint where a plain request waits least."""
+        best: Held | None = None
+        least = float("inf")
+        for held in self._directory.usable(service):
+            if held.endpoint.id in tried:
+                continue
+            slots = max(1, held.endpoint.slots)
+            wait = held.latency_s * (1 + held.load / slots)
+            wait *= random.uniform(0.9, 1.1)  # noqa: S311
+            if wait < least:
+                best, least = held, wait
+        return best
+
+    def path(self, service: Service, tried: set[str]) -> Path | None:
+        """Return the path where a generation runs fastest.
+
+        ``tried`` holds ids of endpoints that failed this request.
+        """
+        model = service.model
+        if model is None:
+            return None
+        best: Path | None = None
+        least = float("inf")
+        for path in self._known(service.name, model):
+            if any(part.endpoint.id in tried for part in path.parts):
+                continue
+            cost = self._cost(path, model, service.slots)
+            if cost < least:
+                best, least = path, cost
+        if best is None and tried:
+            best = self._around(service, model, tried)
+        return best
+
+    def _cost(self, path: Path, model: Model, slots: int) -> float:
+        held = self._directory.held
+        filling = 0.0
+        first = held.get(path.first.id)
+        if first is None:
+            return float("inf")
+        if slots and first.load >= slots:
+            return float("inf")
+        for part in path.parts:
+            known = held.get(part.endpoint.id)
+            if known is None:
+                return float("inf")
+            filling = max(filling, known.load / room(known, model))
+        cost = path.cost_ms * (1 + LOAD_WEIGHT * filling * filling)
+        if path.first.data_centre != self._home:
+            cost += FAR_MS
+        return cost * random.uniform(0.98, 1.02)  # noqa: S311
+
+    def _known(self, service: str, model: Model) -> list[Path]:
+        now = time.monotonic()
+        version, layers, made = self._made.get(service, (-1, 0, 0.0))
+        fresh = version == self._directory.version and layers == model.layers
+        if fresh and now - made < PATHS_S:
+            return self._paths[service]
+        usable = self._directory.usable(service)
+        places = sorted({held.endpoint.data_centre for held in usable})
+        paths: list[Path] = []
+        for place in places:
+            path = self._find(model, usable, place)
+            if path is not None and path not in paths:
+                paths.append(path)
+        self._paths[service] = paths
+        self._made[service] = (self._directory.version, model.layers, now)
+        return paths
+
+    def _around(self, service: Service, model: Model, tried: set[str]) -> Path | None:
+        usable = []
+        for held in self._directory.usable(service.name):
+            if held.endpoint.id not in tried:
+                usable.append(held)
+        return self._find(model, usable, self._home)
+
+    def _find(self, model: Model, usable: list[Held], place: str) -> Path | None:
+        penalties = {}
+        endpoints = []
+        for held in usable:
+            filling = held.load / room(held, model)
+            penalties[held.endpoint.id] = 1 + LOAD_WEIGHT * filling * filling
+            endpoints.append(held.endpoint)
+        return find_path(
+            model, endpoints, place, lambda endpoint: penalties[endpoint.id]
+        )
+
+
+def room(held: Held, model: Model) -> float:
+    """Return how many usual requests fit beside an endpoint's layers."""
+    layers = held.endpoint.layers
+    accelerator = model.accelerators.get(held.endpoint.accelerator)
+    if layers is None or layers.size == 0 or accelerator is None:
+        return 1.0
+    free_mb = accelerator.memory_mb - layers.size * model.layer_mb
+    token_mb = model.kv_bytes / model.layers * layers.size / 1e6
+    usual = max(1.0, (model.usual_prompt + model.usual_answer) * USUAL_PART)
+    return max(1.0, free_mb / (token_mb * usual)) if token_mb else 1.0
+
+
+__all__ = [
+    "Chooser",
+    "room",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -0,0 +1,236 @@
+"""What this host knows of the endpoints, and which of them it uses."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hemlockhall_router.process.store import Row
+    from hemlockhall_router.version.endpoint import Endpoint, Report
+
+# Seconds for which entries that lapsed while the store was away may still
+# come back after its return; the platform names two, the rest is its lag.
+RETURN_S = 2.2
+# Seconds an endpoint that failed is left out, doubled with each failure in a
+# row: long enough for a restart of a process, short enough to try again soon.
+AVOID_S = 0.5
+AVOID_MAX_S = 4.0
+# Weight of the newest value in moving averages.
+SMOOTHING = 0.2
+# Latency assumed of an endpoint that has not answered yet, in seconds.
+UNKNOWN_S = 0.1
+
+
+@dataclass(slots=True)
+class Held:
+    """An endpoint, and what this host has seen of it.
+
+    ``elsewhere`` is the number of requests that other hosts have there.
+    """
+
+    endpoint: Endpoint
+    in_flight: int = 0
+    elsewhere: int = 0
+    failures: int = 0
+    avoid_deadline: float = 0.0
+    vanished_deadline: float | None = None
+    latency_s: float = UNKNOWN_S
+    down: bool = False
+    checked_at: float = 0.0
+    ids: set[bytes] = field(default_factory=set)
+
+    @property
+    def load(self) -> int:
+        """Requests of all hosts there, as far as is known."""
+        return self.in_flight + self.elsewhere
+
+    def usable(self, now: float) -> bool:
+        """Return whether a new request may go there."""
+        if self.endpoint.draining or self.down:
+            return False
+        return now >= self.avoid_deadline
+
+
+class Directory:
+    """All endpoints by id.
+
+    Parameters
+    ----------
+    decode : callable
+        Returns the endpoint that a row names, or None.
+    outage : callable
+        Returns the monotonic time until which a missing entry may come back,
+        or 0 if the store was there all the while.
+    changed : callable
+        Called after each change.
+    """
+
+    def __init__(
+        self,
+        decode: Callable[[str, bytes], Endpoint | None],
+        outage: Callable[[], float],
+        changed: Callable[[], None],
+    ) -> None:
+        self._decode = decode
+        self._outage = outage
+        self._changed = changed
+        self.held: dict[str, Held] = {}
+        self.version = 0
+
+    def take(self, rows: list[Row]) -> None:
+        """Act on changed rows of the endpoint table."""
+        for row in rows:
+            endpoint = None
+            if not row.deleted:
+                endpoint = self._decode(row.key, row.value)
+            if endpoint is None:
+                self._missing(row)
+            else:
+                self._put(endpoint)
+        self._bump()
+
+    def _put(self, endpoint: Endpoint) -> None:
+        held = self.held.get(endpoint.id)
+        if held is None:
+            self.held[endpoint.id] = Held(endpoint)
+            logger.info(
+                "endpoint appeared",
+                endpoint=endpoint.id,
+                service=endpoint.service,
+                place=endpoint.data_centre,
+                layers=_span(endpoint),
+                draining=endpoint.draining,
+            )
+            return
+        old = held.endpoint
+        held.vanished_deadline = None
+        if old.incarnation != endpoint.incarnation or old.address != endpoint.address:
+            held.failures = 0
+            held.avoid_deadline = 0.0
+            held.down = False
+        if old.draining != endpoint.draining or old.layers != endpoint.layers:
+            logger.info(
+                "endpoint changed",
+                endpoint=endpoint.id,
+                layers=_span(endpoint),
+                draining=endpoint.draining,
+            )
+        held.endpoint = endpoint
+
+    def _missing(self, row: Row) -> None:
+        held = self.held.get(row.key)
+        if held is None:
+            return
+        deadline = self._outage()
+        # While the store was away it removes entries of endpoints that could
+        # not reach it. Dropping them all at once would refuse every request
+        # though nothing failed; they are back soon, or they are gone.
+        if row.deleted and time.monotonic() < deadline and not held.endpoint.draining:
+            held.vanished_deadline = deadline
+            return
+        self._drop(row.key, "removed" if row.deleted else "entry cannot be read")
+
+    def _drop(self, key: str, cause: str) -> None:
+        del self.held[key]
+        logger.info("endpoint gone", endpoint=key, cause=cause)
+
+    def expire(self) -> None:
+        """Drop the endpoints that did not come back in time."""
+        now = time.monotonic()
+        for key in list(self.held):
+            deadline = self.held[key].vanished_deadline
+            if deadline is not None and now >= deadline:
+                self._drop(key, "did not come back after the outage")
+                self._bump()
+
+    def _bump(self) -> None:
+        self.version += 1
+        self._changed()
+
+    def usable(self, service: str) -> list[Held]:
+        """Return the endpoints of a service that new requests may use."""
+        now = time.monotonic()
+        found = []
+        for held in self.held.values():
+            if held.endpoint.service == service and held.usable(now):
+                found.append(held)
+        return found
+
+    def members(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that live and do not leave."""
+        found = []
+        for held in self.held.values():
+            endpoint = held.endpoint
+            if endpoint.service == service and not endpoint.draining and not held.down:
+                found.append(endpoint)
+        return found
+
+    def failed(self, key: str, cause: str) -> None:
+        """Leave an endpoint out for a while."""
+        held = self.held.get(key)
+        if held is None:
+            return
+        held.failures += 1
+        pause = min(AVOID_MAX_S, AVOID_S * 2 ** min(held.failures - 1, 8))
+        held.avoid_deadline = time.monotonic() + pause
+        logger.warning(
+            "endpoint left out", endpoint=key, cause=cause, seconds=round(pause, 2)
+        )
+        self._bump()
+
+    def succeeded(self, key: str, latency_s: float) -> None:
+        """Note an answer, and the time to its first byte."""
+        held = self.held.get(key)
+        if held is None:
+            return
+        held.failures = 0
+        held.latency_s += SMOOTHING * (latency_s - held.latency_s)
+
+    def set_down(self, key: str, *, down: bool) -> None:
+        """Note whether an endpoint answers when asked for its state."""
+        held = self.held.get(key)
+        if held is None or held.down == down:
+            return
+        held.down = down
+        logger.warning("endpoint down" if down else "endpoint back", endpoint=key)
+        self._bump()
+
+    def reported(self, key: str, report: Report) -> None:
+        """Take what an endpoint says of itself, if it is the same run."""
+        held = self.held.get(key)
+        if held is None:
+            return
+        old = held.endpoint
+        if report.born and old.born and report.born != old.born:
+            # A restarted endpoint holds nothing of before.
+            held.endpoint = replace(
+                old, born=report.born, orders=report.orders, layers=report.layers
+            )
+            self._bump()
+            return
+        if old.layers != report.layers or old.orders != report.orders:
+            held.endpoint = replace(old, orders=report.orders, layers=report.layers)
+            self._bump()
+
+    def set_elsewhere(self, counts: dict[str, int]) -> None:
+        """Take the numbers of requests that the other hosts have."""
+        for key, held in self.held.items():
+            held.elsewhere = counts.get(key, 0)
+
+
+def _span(endpoint: Endpoint) -> str:
+    layers = endpoint.layers
+    return f"{layers.first}-{layers.end}" if layers else ""
+
+
+__all__ = [
+    "Directory",
+    "Held",
+    "RETURN_S",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/front.py
@@ -0,0 +1,231 @@
+"""Connections of callers: one task each, requests one after another."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from hemlockhall_router.connection.caller import CallerLimits, CallerReader
+from hemlockhall_router.connection.error import CallerError, CallerGoneError
+from hemlockhall_router.request.plain import PlainRelay
+from hemlockhall_router.request.reason import Refusal
+from hemlockhall_router.request.reply import Reply
+from hemlockhall_router.request.stream import StreamRelay
+from hemlockhall_router.request.work import Work
+from hemlockhall_router.version.routing import Kind, Service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import SocketStream
+
+    from hemlockhall_router.connection.message import RequestHead
+    from hemlockhall_router.request.work import Tools
+    from hemlockhall_router.version.routing import Customer, Route, Routing
+
+# Seconds a caller waits that states no deadline.
+DEADLINE_S = 30.0
+# Retry-After while no configuration is known yet, in seconds.
+START_AGAIN_S = 1.0
+
+
+class _Refused(Exception):
+    """The request is not relayed; the answer is this host's own."""
+
+    def __init__(self, refusal: Refusal, status: int, text: str) -> None:
+        super().__init__(text)
+        self.refusal = refusal
+        self.status = status
+        self.text = text
+
+
+class Front:
+    """Serves callers.
+
+    Parameters
+    ----------
+    tools : Tools
+        What relaying uses.
+    routing : callable
+        Returns the configuration in force, or None.
+    """
+
+    def __init__(self, tools: Tools, routing: Callable[[], Routing | None]) -> None:
+        self._tools = tools
+        self._routing = routing
+        self._idle: set[anyio.CancelScope] = set()
+        self.leaving = False
+        self.open_requests = 0
+
+    def close_idle(self) -> None:
+        """End the connections that carry no request."""
+        for scope in list(self._idle):
+            scope.cancel()
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serve one connection until either side ends it."""
+        routing = self._routing()
+        reader = CallerReader(stream, routing.limits if routing else CallerLimits())
+        try:
+            while await self._next(reader):
+                continue
+        except CallerGoneError:
+            return
+        except Exception:  # noqa: BLE001
+            # One connection's fault must not end the others' requests.
+            logger.exception("connection failed")
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    async def _next(self, reader: CallerReader) -> bool:
+        """Serve one request; return whether another may follow."""
+        routing = self._routing()
+        if routing is not None:
+            reader.limits = routing.limits
+        head = None
+        try:
+            with anyio.CancelScope() as idle:
+                self._idle.add(idle)
+                try:
+                    head = await reader.next_head()
+                finally:
+                    self._idle.discard(idle)
+        except CallerError as exc:
+            self._tools.metrics.refusal(Refusal.UNREADABLE)
+            await reader.refuse(exc)
+            return False
+        if head is None:
+            return False
+        self.open_requests += 1
+        try:
+            return await self._exchange(reader, head)
+        finally:
+            self.open_requests -= 1
+
+    async def _exchange(self, reader: CallerReader, head: RequestHead) -> bool:
+        arrived = time.monotonic()
+        deadline = arrived + self._patience_s(head)
+        reply = Reply(reader, head, lambda: self.leaving or reader.close_after)
+        try:
+            body = await reader.body(deadline)
+        except CallerError as exc:
+            self._tools.metrics.refusal(Refusal.UNREADABLE)
+            await reader.refuse(exc)
+            return False
+        gone = False
+        async with anyio.create_task_group() as group:
+
+            async def watch() -> None:
+                nonlocal gone
+                await reader.watch()
+                gone = True
+                group.cancel_scope.cancel()
+
+            group.start_soon(watch)
+            try:
+                await self._answer(head, body, deadline, arrived, reply)
+            except CallerGoneError:
+                gone = True
+            group.cancel_scope.cancel()
+        self._tools.metrics.answer(0 if gone else reply.status)
+        if gone:
+            # Leaving closed the connections to the endpoints, which stops them.
+            logger.info("caller left", request=self._id(head).decode("latin-1"))
+            return False
+        reader.done()
+        if reply.close and reply.complete:
+            await reader.linger()
+        return reply.complete and not reply.close
+
+    async def _answer(
+        self,
+        head: RequestHead,
+        body: bytes,
+        deadline: float,
+        arrived: float,
+        reply: Reply,
+    ) -> None:
+        try:
+            work = self._work(head, body, deadline, arrived)
+        except _Refused as exc:
+            self._tools.metrics.refusal(exc.refusal)
+            logger.info(
+                "request refused",
+                request=self._id(head).decode("latin-1"),
+                reason=exc.refusal.value,
+                version=self._version(),
+            )
+            again_s = START_AGAIN_S if exc.status == 503 else None
+            await reply.own(exc.status, exc.text, again_s)
+            return
+        self._tools.budget.request(work.service.name)
+        if work.route.kind is Kind.STREAM and work.service.model is not None:
+            await StreamRelay(work, self._tools, reply).run()
+        else:
+            await PlainRelay(work, self._tools, reply).run()
+
+    def _work(
+        self, head: RequestHead, body: bytes, deadline: float, arrived: float
+    ) -> Work:
+        routing = self._routing()
+        if routing is None:
+            raise _Refused(
+                Refusal.NO_CONFIGURATION, 503, "no configuration is known yet"
+            )
+        route = routing.match(head)
+        if route is None:
+            raise _Refused(Refusal.NO_ROUTE, 404, "no route has this host and path")
+        customer = self._customer(routing, route, head)
+        name = _target(route)
+        service = routing.services.get(name) or Service(name, "/", 0)
+        return Work(
+            head=head,
+            body=body,
+            route=route,
+            service=service,
+            customer=customer,
+            id=self._id(head),
+            deadline=min(deadline, arrived + route.timeout_s),
+            tokens=self._tools.dialect.tokens(head),
+        )
+
+    def _customer(
+        self, routing: Routing, route: Route, head: RequestHead
+    ) -> Customer | None:
+        key = head.header(self._tools.dialect.headers.api_key)
+        customer = routing.customers.get(key.strip()) if key else None
+        if not routing.keys_wanted or route.public:
+            return customer
+        if customer is None:
+            raise _Refused(Refusal.UNKNOWN_KEY, 401, "the API key is not known")
+        return customer
+
+    def _patience_s(self, head: RequestHead) -> float:
+        value = head.header(self._tools.dialect.headers.deadline_ms)
+        if value is None or not value.strip().isdigit():
+            return DEADLINE_S
+        return int(value) / 1000
+
+    def _id(self, head: RequestHead) -> bytes:
+        return head.header(self._tools.dialect.headers.request_id) or b""
+
+    def _version(self) -> int:
+        routing = self._routing()
+        return routing.version if routing else 0
+
+
+def _target(route: Route) -> str:
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [target.weight for target in route.targets]
+    return random.choices(route.targets, weights)[0].service  # noqa: S311
+
+
+__all__ = [
+    "Front",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/hosts.py
@@ -0,0 +1,309 @@
+"""The other entry hosts: what they know that this one does not, and load.
+
+A host that the store turns away would go on with an old configuration, a
+withdrawn key or a leaving endpoint. Hosts therefore tell each other the
+versions of their copies of the tables, and pass on the rows that one lacks.
+Versions come from the store's one counter, so a copy at a version is the same
+wherever it came from, and an older one never replaces a newer one.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+from loguru import logger
+
+from hemlockhall_router.connection.error import WireError
+from hemlockhall_router.connection.link import (
+    Ack,
+    Delta,
+    Link,
+    PassedRow,
+    Status,
+)
+from hemlockhall_router.process.store import (
+    ConditionError,
+    Row,
+    Store,
+    StoreError,
+    Table,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import SocketStream, TaskGroup
+
+    from hemlockhall_router.process.watch import Watch
+
+# Seconds between two messages to each host: what is passed on must be in
+# force within 2 s, and each message costs about 0.2 ms of processor time.
+INTERVAL_S = 0.25
+# Seconds until an unanswered message means that the connection is silent.
+ANSWER_S = 0.8
+# Seconds of silence after which a host no longer counts.
+DEAD_S = 1.5
+# Seconds a host may be behind before it is sent rows: it gets them from the
+# store at the same time unless it is cut off from it.
+BEHIND_S = 0.15
+# Seconds between tries to reach a host, and until it is forgotten.
+RETRY_S = 0.3
+RETRY_MAX_S = 2.0
+FORGET_S = 30.0
+# Seconds between readings of the table of hosts while nobody is heard.
+ALONE_S = 4.0
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another host, as heard last."""
+
+    address: str
+    status: Status | None = None
+    heard_at: float = 0.0
+    added_at: float = field(default_factory=time.monotonic)
+    behind_since: dict[str, float] = field(default_factory=dict)
+
+    def live(self, now: float) -> bool:
+        """Return whether it was heard lately."""
+        return self.status is not None and now - self.heard_at < DEAD_S
+
+
+class HostRow(msgspec.Struct):
+    """A row of the table of hosts."""
+
+    address: str
+
+
+class Hosts:
+    """Links to the other hosts.
+
+    Parameters
+    ----------
+    address : str
+        Where this host listens for the others.
+    seeds : list of str
+        Addresses to begin with.
+    store : Store
+        Keeps the table of hosts.
+    name : str
+        This host's name.
+    describe : callable
+        Returns this host's ``Status``; called with the live peers' addresses.
+    watches : list of Watch
+        The copies of tables that are passed on.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        seeds: list[str],
+        store: Store,
+        describe: Callable[[list[str]], Status],
+        watches: list[Watch],
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._seeds = seeds
+        self._store = store
+        self._describe = describe
+        self._watches = {watch.table.value: watch for watch in watches}
+        self.peers: dict[str, Peer] = {}
+        self._group: TaskGroup | None = None
+        self._most = 1
+
+    async def run(self) -> None:
+        """Talk to the other hosts until cancelled."""
+        host, _, port = self._address.rpartition(":")
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for seed in self._seeds:
+                self._meet(seed)
+            group.start_soon(self._register)
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=int(port)
+            )
+            await listener.serve(self._listen, group)
+
+    def live(self) -> list[Peer]:
+        """Return the hosts that were heard lately."""
+        now = time.monotonic()
+        return [peer for peer in self.peers.values() if peer.live(now)]
+
+    def count(self) -> int:
+        """Return the most hosts that there were together, with this one."""
+        self._most = max(self._most, 1 + len(self.live()))
+        return self._most
+
+    def loads(self) -> dict[str, int]:
+        """Return the other hosts' requests at each endpoint."""
+        counts: dict[str, int] = {}
+        for peer in self.live():
+            assert peer.status is not None
+            for key, count in peer.status.loads.items():
+                counts[key] = counts.get(key, 0) + count
+        return counts
+
+    def fence(self) -> int:
+        """Return the newest planning lease that another live host claims."""
+        fences = [peer.status.fence for peer in self.live() if peer.status]
+        return max(fences, default=0)
+
+    def _meet(self, address: str) -> None:
+        if address == self._address or address in self.peers or not self._group:
+            return
+        peer = Peer(address)
+        self.peers[address] = peer
+        self._group.start_soon(self._talk, peer)
+
+    async def _register(self) -> None:
+        """Enter this host in the table, and read it while nobody is heard."""
+        version: int | None = None
+        while True:
+            try:
+                deadline = time.monotonic() + 1.0
+                if version is None:
+                    version = await self._enter(deadline)
+                if not self.live():
+                    page = await self._store.read(Table.HOSTS, deadline)
+                    for row in page.rows:
+                        self._meet_row(row)
+            except StoreError as exc:
+                logger.info("table of hosts not reached", cause=str(exc))
+            await anyio.sleep(ALONE_S if version is not None else 1.0)
+
+    async def _enter(self, deadline: float) -> int:
+        value = msgspec.json.encode(HostRow(self._address))
+        expected = 0
+        while True:
+            try:
+                written = await self._store.write(
+                    Table.HOSTS, self._name, value, expected, deadline
+                )
+                return written.version
+            except ConditionError as exc:
+                if exc.row is None or exc.row.version == expected:
+                    raise
+                if exc.row.value == value:
+                    return exc.row.version
+                expected = exc.row.version
+
+    def _meet_row(self, row: Row) -> None:
+        try:
+            entry = msgspec.json.decode(row.value, type=HostRow)
+        except msgspec.DecodeError:
+            logger.warning("row of a host cannot be read", host=row.key)
+            return
+        if row.key != self._name:
+            self._meet(entry.address)
+
+    async def _talk(self, peer: Peer) -> None:
+        """Send to one host until it is forgotten."""
+        host, _, port = peer.address.rpartition(":")
+        delay = RETRY_S
+        while True:
+            try:
+                link = await Link.open(host, int(port), time.monotonic() + ANSWER_S)
+                try:
+                    while True:
+                        await self._round(link, peer)
+                        delay = RETRY_S
+                        await anyio.sleep(INTERVAL_S)
+                finally:
+                    await link.close()
+            except WireError:
+                await anyio.sleep(delay)
+                delay = min(RETRY_MAX_S, delay * 1.5)
+            now = time.monotonic()
+            if now - max(peer.heard_at, peer.added_at) > FORGET_S:
+                self.peers.pop(peer.address, None)
+                logger.info("host forgotten", address=peer.address)
+                return
+
+    async def _round(self, link: Link, peer: Peer) -> None:
+        heard = [other.address for other in self.live()]
+        await self._say(link, self._describe(heard))
+        for watch in self._watches.values():
+            delta = self._lacking(watch, peer)
+            if delta is not None:
+                await self._say(link, delta)
+
+    async def _say(self, link: Link, message: Status | Delta) -> None:
+        deadline = time.monotonic() + ANSWER_S
+        await link.send(message, deadline)
+        await link.receive(deadline)
+
+    def _lacking(self, watch: Watch, peer: Peer) -> Delta | None:
+        now = time.monotonic()
+        if peer.status is None or not peer.live(now) or watch.version == 0:
+            return None
+        table = watch.table.value
+        theirs = peer.status.versions.get(table, 0)
+        if theirs >= watch.version:
+            peer.behind_since.pop(table, None)
+            return None
+        since = peer.behind_since.setdefault(table, now)
+        if now - since < BEHIND_S:
+            return None
+        whole, rows = watch.since(theirs)
+        if not whole and not rows:
+            # Other tables moved the store's counter; nothing is lacking.
+            return None
+        passed = [PassedRow(r.key, r.value, r.version, r.deleted) for r in rows]
+        return Delta(table, watch.version, whole, passed)
+
+    async def _listen(self, stream: SocketStream) -> None:
+        link = Link(stream)
+        try:
+            while True:
+                message = await link.receive(time.monotonic() + DEAD_S * 2)
+                if isinstance(message, Status):
+                    self._heard(message)
+                elif isinstance(message, Delta):
+                    self._take(message)
+                await link.send(Ack(), time.monotonic() + ANSWER_S)
+        except WireError:
+            return
+        finally:
+            await link.close()
+
+    def _heard(self, status: Status) -> None:
+        self._meet(status.address)
+        for address in status.peers:
+            self._meet(address)
+        peer = self.peers.get(status.address)
+        if peer is None:
+            return
+        now = time.monotonic()
+        if not peer.live(now):
+            logger.info("host heard", host=status.name, address=status.address)
+        peer.status = status
+        peer.heard_at = now
+
+    def _take(self, delta: Delta) -> None:
+        watch = self._watches.get(delta.table)
+        if watch is None or delta.version <= watch.version:
+            return
+        rows = [Row(r.key, r.value, r.version, r.deleted) for r in delta.rows]
+        logger.info(
+            "rows from another host",
+            table=delta.table,
+            version=delta.version,
+            had=watch.version,
+            rows=len(rows),
+        )
+        if delta.whole:
+            watch.replace(rows, delta.version)
+        else:
+            watch.apply(rows, delta.version)
+
+
+__all__ = [
+    "Hosts",
+    "Peer",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -0,0 +1,220 @@
+"""Orders to endpoints, so that every layer is held where it should be.
+
+One host plans, under a lease. Orders are conditional on the number of orders
+that the endpoint began before: an order that arrives late, after newer ones,
+or from a host whose lease has lapsed, is refused by the endpoint itself.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from hemlockhall_router.connection.error import WireError
+from hemlockhall_router.process.dialect import DecodeError
+from hemlockhall_router.process.prober import call_endpoint
+from hemlockhall_router.version.layout import plan
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hemlockhall_router.process.dialect import Dialect
+    from hemlockhall_router.process.directory import Directory
+    from hemlockhall_router.process.hosts import Hosts
+    from hemlockhall_router.process.lease import Lease
+    from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.process.prober import Prober
+    from hemlockhall_router.version.endpoint import Endpoint, LayerRange
+    from hemlockhall_router.version.routing import Model, Routing
+
+# Seconds between two plans.
+INTERVAL_S = 0.2
+# Seconds without a new endpoint before the first plan: all appear within one
+# heartbeat, and a plan for half of them would have to be redone.
+SETTLE_S = 1.5
+# Seconds an order may take to be accepted.
+ORDER_S = 1.0
+# Seconds beyond the loading time until an order counts as lost.
+LOAD_ALLOWANCE_S = 3.0
+# Seconds before an order without an answer is looked into again.
+UNCERTAIN_S = 1.5
+REPORT_S = 0.4
+
+
+@dataclass(slots=True)
+class Pending:
+    """An order that the endpoint does not show yet."""
+
+    layers: LayerRange
+    deadline: float
+    accepted: bool = False
+
+
+class Planner:
+    """Plans while this host holds the lease."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        directory: Directory,
+        hosts: Hosts,
+        lease: Lease,
+        prober: Prober,
+        metrics: Metrics,
+        routing: Callable[[], Routing | None],
+    ) -> None:
+        self._dialect = dialect
+        self._directory = directory
+        self._hosts = hosts
+        self._lease = lease
+        self._prober = prober
+        self._metrics = metrics
+        self._routing = routing
+        self._pending: dict[tuple[str, int], Pending] = {}
+        self._known: dict[str, set[tuple[str, int]]] = {}
+        self._settle_deadlines: dict[str, float] = {}
+        self._next_take = 0.0
+        self.stopped = False
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await anyio.sleep(INTERVAL_S)
+                if self.stopped:
+                    continue
+                await self._keep_lease()
+                if not self._lease.fence:
+                    continue
+                routing = self._routing()
+                if routing is None:
+                    continue
+                for service in routing.services.values():
+                    if service.model is not None:
+                        self._step(service.name, service.model, group)
+
+    async def _keep_lease(self) -> None:
+        rival = self._hosts.fence()
+        if self._lease.fence and rival > self._lease.fence:
+            self._lease.drop("another host holds a newer one")
+        now = time.monotonic()
+        if self._lease.fence:
+            if self._lease.due and now >= self._next_take:
+                self._next_take = now + INTERVAL_S
+                await self._lease.take()
+            return
+        if rival or now < self._next_take:
+            return
+        self._next_take = now + 1.0
+        await self._lease.take()
+
+    def _step(self, service: str, model: Model, group: anyio.abc.TaskGroup) -> None:
+        members = self._directory.members(service)
+        now = time.monotonic()
+        self._settle(service, members, now)
+        held: dict[str, LayerRange | None] = {}
+        for endpoint in members:
+            held[endpoint.id] = self._layers(endpoint, now)
+        started = any(layers is not None for layers in held.values())
+        if not started and now < self._settle_deadlines.get(service, 0.0):
+            return
+        by_id = {endpoint.id: endpoint for endpoint in members}
+        for key, layers in plan(model, members, held).items():
+            endpoint = by_id[key]
+            waiting = self._pending.get(endpoint.incarnation)
+            if waiting is not None:
+                continue
+            share = layers.size / model.layers
+            load_s = model.load_s * share * len(members) / max(1, model.loads_at_once)
+            deadline = now + load_s + LOAD_ALLOWANCE_S
+            order = Pending(layers, deadline)
+            self._pending[endpoint.incarnation] = order
+            group.start_soon(self._order, endpoint, order)
+
+    def _settle(self, service: str, members: list[Endpoint], now: float) -> None:
+        present = {endpoint.incarnation for endpoint in members}
+        known = self._known.get(service, set())
+        if present - known:
+            self._settle_deadlines[service] = now + SETTLE_S
+        self._known[service] = present
+        for incarnation in known - present:
+            self._pending.pop(incarnation, None)
+
+    def _layers(self, endpoint: Endpoint, now: float) -> LayerRange | None:
+        """Return what an endpoint holds, or was ordered to hold."""
+        order = self._pending.get(endpoint.incarnation)
+        if order is None:
+            return endpoint.layers
+        if endpoint.layers == order.layers or now >= order.deadline:
+            del self._pending[endpoint.incarnation]
+            return endpoint.layers
+        return order.layers
+
+    async def _order(self, endpoint: Endpoint, order: Pending) -> None:
+        """Give an order, and watch until it is carried out."""
+        try:
+            report = await self._prober.report(endpoint)
+        except (WireError, DecodeError) as exc:
+            self._end(endpoint, order, f"no report: {exc}")
+            self._prober.doubt([endpoint.id])
+            return
+        if report.layers == order.layers:
+            self._directory.reported(endpoint.id, report)
+            return
+        if report.busy:
+            self._end(endpoint, order, "busy")
+            return
+        call = self._dialect.place_call(order.layers, report.orders, self._lease.fence)
+        try:
+            deadline = time.monotonic() + ORDER_S
+            response = await call_endpoint(endpoint, call, deadline)
+        except WireError as exc:
+            order.deadline = time.monotonic() + UNCERTAIN_S
+            self._note(endpoint, order, f"no answer: {exc}")
+            return
+        status = response.head.status
+        self._note(endpoint, order, str(status))
+        if status not in (200, 202):
+            self._end(endpoint, order, f"status {status}")
+            return
+        order.accepted = True
+        await self._follow(endpoint, order)
+
+    async def _follow(self, endpoint: Endpoint, order: Pending) -> None:
+        while self._pending.get(endpoint.incarnation) is order:
+            await anyio.sleep(REPORT_S)
+            held = self._directory.held.get(endpoint.id)
+            if held is not None and held.endpoint.layers == order.layers:
+                return
+            try:
+                report = await self._prober.report(endpoint)
+            except (WireError, DecodeError):
+                self._prober.doubt([endpoint.id])
+                return
+            if not report.busy:
+                self._directory.reported(endpoint.id, report)
+                return
+
+    def _end(self, endpoint: Endpoint, order: Pending, cause: str) -> None:
+        if self._pending.get(endpoint.incarnation) is order:
+            del self._pending[endpoint.incarnation]
+        self._note(endpoint, order, cause)
+
+    def _note(self, endpoint: Endpoint, order: Pending, outcome: str) -> None:
+        self._metrics.count("orders", outcome.split(":")[0])
+        logger.info(
+            "order",
+            endpoint=endpoint.id,
+            layers=f"{order.layers.first}-{order.layers.end}",
+            outcome=outcome,
+            fence=self._lease.fence,
+        )
+
+
+__all__ = [
+    "Planner",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -0,0 +1,279 @@
+"""The router process."""
+
+from __future__ import annotations
+
+import gc
+import secrets
+import signal
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from hemlockhall_router.connection.caller import CallerLimits, CallerReader
+from hemlockhall_router.connection.error import CallerError, CallerGoneError
+from hemlockhall_router.connection.link import Status
+from hemlockhall_router.connection.message import response_text
+from hemlockhall_router.connection.pool import Pool
+from hemlockhall_router.process.budget import Budget
+from hemlockhall_router.process.chooser import Chooser
+from hemlockhall_router.process.dialect import DecodeError, load_dialect
+from hemlockhall_router.process.directory import RETURN_S, Directory
+from hemlockhall_router.process.front import Front
+from hemlockhall_router.process.hosts import Hosts
+from hemlockhall_router.process.lease import Lease
+from hemlockhall_router.process.metric import Metrics
+from hemlockhall_router.process.planner import Planner
+from hemlockhall_router.process.prober import Prober
+from hemlockhall_router.process.setting import SettingsError, load_settings
+from hemlockhall_router.process.store import Table
+from hemlockhall_router.process.watch import Watch
+from hemlockhall_router.request.work import Tools
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from anyio.abc import SocketStream, TaskGroup
+
+    from hemlockhall_router.process.setting import RouterSettings
+    from hemlockhall_router.process.store import Row
+    from hemlockhall_router.version.routing import Routing
+
+# Seconds between two rounds of small upkeep.
+UPKEEP_S = 0.25
+# Seconds between two looks at the settings file, which may change unannounced.
+SETTINGS_S = 1.0
+# Seconds after SIGTERM until the balancer sends no new connections: it asks
+# each second and takes a host out after two misses.
+NOTICE_S = 3.0
+# Seconds before the platform ends this process; what is left by then is cut.
+END_MARGIN_S = 0.8
+# Seconds for which a store failure still excuses missing entries.
+OUTAGE_S = 3.0
+BACKLOG = 1024
+
+
+class Router:
+    """An entry host in front of HTTP endpoints.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file; read again when it changes.
+    settings : RouterSettings
+        Its contents.
+    """
+
+    def __init__(self, path: Path, settings: RouterSettings, metrics: Metrics) -> None:
+        self._path = path
+        self._settings = settings
+        self._metrics = metrics
+        self._boot = secrets.token_hex(4)
+        host = settings.host
+        self._dialect = load_dialect(host.dialect, host.dialect_module)
+        self._store = self._dialect.store(settings.store.address)
+        self.routing: Routing | None = None
+        self._routes_watch = Watch(self._store, Table.ROUTING, self._routing_changed)
+        self._endpoints_watch = Watch(
+            self._store, Table.ENDPOINTS, self._endpoints_changed
+        )
+        self._directory = Directory(self._dialect.endpoint, self._outage, lambda: None)
+        self._lease = Lease(self._store, host.name, self._boot)
+        self._hosts = Hosts(
+            host.name,
+            settings.listen.hosts,
+            settings.seeds,
+            self._store,
+            self._describe,
+            [self._routes_watch, self._endpoints_watch],
+        )
+        retry = settings.retry
+        self._budget = Budget(
+            retry.ratio, retry.constant, retry.window_s, self._hosts.count
+        )
+        self._prober = Prober(self._dialect, self._directory)
+        chooser = Chooser(self._directory, host.data_centre)
+        self._pool = Pool()
+        tools = Tools(
+            self._dialect,
+            self._pool,
+            self._directory,
+            chooser,
+            self._budget,
+            metrics,
+            self._prober,
+        )
+        self._front = Front(tools, lambda: self.routing)
+        self._planner = Planner(
+            self._dialect,
+            self._directory,
+            self._hosts,
+            self._lease,
+            self._prober,
+            metrics,
+            lambda: self.routing,
+        )
+        self._group: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then until the requests have ended."""
+        logger.info("start", boot=self._boot, place=self._settings.host.data_centre)
+        # What is loaded by now lives as long as the process; looking through
+        # it again at each collection would only cost time.
+        gc.freeze()
+        listen = self._settings.listen
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._signals)
+            group.start_soon(self._listen, listen.ready, self._serve_ready)
+            group.start_soon(self._listen, listen.callers, self._front.serve)
+            group.start_soon(self._routes_watch.run)
+            group.start_soon(self._endpoints_watch.run)
+            group.start_soon(self._hosts.run)
+            group.start_soon(self._planner.run)
+            group.start_soon(self._prober.run)
+            group.start_soon(self._upkeep)
+            group.start_soon(self._settings_watch)
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections should come here."""
+        known = self._endpoints_watch.version > 0
+        return self.routing is not None and known and not self._front.leaving
+
+    async def _listen(self, address: str, serve) -> None:  # noqa: ANN001
+        host, _, port = address.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port), backlog=BACKLOG
+        )
+        await listener.serve(serve)
+
+    async def _serve_ready(self, stream: SocketStream) -> None:
+        reader = CallerReader(stream, CallerLimits())
+        try:
+            while True:
+                head = await reader.next_head()
+                if head is None:
+                    return
+                await reader.body(time.monotonic() + 1.0)
+                await reader.send(self._state(head.path))
+                reader.done()
+        except (CallerError, CallerGoneError):
+            return
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    def _state(self, path: bytes) -> bytes:
+        status, body = 404, b""
+        if path == self._dialect.ready_path:
+            status = 200 if self.ready else 503
+        elif path == b"/metrics":
+            status, body = 200, self._metrics.text()
+        headers = [(b"Content-Length", b"%d" % len(body))]
+        return response_text(status, b"", headers) + body
+
+    def _routing_changed(self, rows: list[Row]) -> None:
+        for row in rows:
+            if row.deleted:
+                continue
+            try:
+                routing = self._dialect.routing(row.key, row.value)
+            except DecodeError as exc:
+                logger.error("configuration cannot be read", cause=str(exc))
+                continue
+            if routing is None:
+                continue
+            if self.routing is not None and routing.version <= self.routing.version:
+                logger.warning("older configuration ignored", version=routing.version)
+                continue
+            self.routing = routing
+            logger.info("configuration in force", version=routing.version)
+
+    def _endpoints_changed(self, rows: list[Row]) -> None:
+        self._directory.take(rows)
+
+    def _outage(self) -> float:
+        """Return until when a missing entry may come back, or 0."""
+        watch = self._endpoints_watch
+        now = time.monotonic()
+        if not watch.reached:
+            return now + RETURN_S
+        if now - watch.lost_at > OUTAGE_S or watch.lost_at == 0.0:
+            return 0.0
+        return max(watch.regained_at, watch.lost_at) + RETURN_S
+
+    def _describe(self, peers: list[str]) -> Status:
+        loads = {}
+        for key, held in self._directory.held.items():
+            if held.in_flight:
+                loads[key] = held.in_flight
+        watches = (self._routes_watch, self._endpoints_watch)
+        return Status(
+            name=self._settings.host.name,
+            address=self._settings.listen.hosts,
+            boot=self._boot,
+            versions={watch.table.value: watch.version for watch in watches},
+            loads=loads,
+            fence=self._lease.fence if self._lease.held else 0,
+            leaving=self._front.leaving,
+            peers=peers,
+        )
+
+    async def _upkeep(self) -> None:
+        while True:
+            await anyio.sleep(UPKEEP_S)
+            self._directory.expire()
+            self._directory.set_elsewhere(self._hosts.loads())
+            await self._pool.sweep()
+
+    async def _settings_watch(self) -> None:
+        while True:
+            await anyio.sleep(SETTINGS_S)
+            self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = load_settings(self._path)
+        except SettingsError as exc:
+            logger.error("settings kept", cause=str(exc))
+            return
+        if settings == self._settings:
+            return
+        self._settings = settings
+        self._budget.ratio = settings.retry.ratio
+        self._budget.constant = settings.retry.constant
+        self._budget.window_s = settings.retry.window_s
+        logger.info("settings reloaded")
+
+    async def _signals(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as received:
+            async for signum in received:
+                if signum == signal.SIGHUP:
+                    self._reload()
+                elif not self._front.leaving:
+                    assert self._group is not None
+                    self._group.start_soon(self._leave)
+
+    async def _leave(self) -> None:
+        """Serve on until the balancer has noticed, then end."""
+        logger.info("leaving", open_requests=self._front.open_requests)
+        began = time.monotonic()
+        end = began + self._settings.leave.grace_s - END_MARGIN_S
+        self._front.leaving = True
+        self._planner.stopped = True
+        await self._lease.release()
+        await anyio.sleep(max(0.0, began + NOTICE_S - time.monotonic()))
+        while self._front.open_requests and time.monotonic() < end:
+            self._front.close_idle()
+            await anyio.sleep(0.05)
+        self._front.close_idle()
+        logger.info("end", open_requests=self._front.open_requests)
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+
+
+__all__ = [
+    "Router",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/setting.py
@@ -0,0 +1,104 @@
+"""Settings of the router: a TOML file, checked whole."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the text names place and fix."""
+
+
+class HostSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Who this host is, and whose names it speaks."""
+
+    name: str
+    data_centre: str
+    dialect: str
+    dialect_module: str
+
+
+class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Addresses: for callers, the balancer's questions, and other hosts."""
+
+    callers: str
+    ready: str
+    hosts: str
+
+
+class StoreSection(msgspec.Struct, frozen=True, kw_only=True):
+    """The store that keeps what must last."""
+
+    address: str
+
+
+class RetrySection(msgspec.Struct, frozen=True, kw_only=True):
+    """The allowance of repeats, over all hosts together."""
+
+    ratio: float = 0.2
+    constant: float = 100.0
+    window_s: float = 10.0
+
+
+class LeaveSection(msgspec.Struct, frozen=True, kw_only=True):
+    """How long this host may take to end after SIGTERM."""
+
+    grace_s: float = 8.0
+
+
+class LogSection(msgspec.Struct, frozen=True, kw_only=True):
+    """How much is logged."""
+
+    level: str = "INFO"
+
+
+class RouterSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The whole file; unknown fields are ignored."""
+
+    host: HostSection
+    listen: ListenSection
+    store: StoreSection
+    seeds: list[str] = []
+    retry: RetrySection = RetrySection()
+    leave: LeaveSection = LeaveSection()
+    log: LogSection = LogSection()
+
+
+def load_settings(path: Path) -> RouterSettings:
+    """Return the settings in a file, or raise ``SettingsError``."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as exc:
+        msg = f"{path}: cannot be read: {exc.strerror}; name a readable file"
+        raise SettingsError(msg) from exc
+    except tomllib.TOMLDecodeError as exc:
+        raise SettingsError(f"{path}: not valid TOML: {exc}") from exc
+    try:
+        settings = msgspec.convert(raw, RouterSettings)
+    except msgspec.ValidationError as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
+    places = {
+        "listen.callers": settings.listen.callers,
+        "listen.ready": settings.listen.ready,
+        "listen.hosts": settings.listen.hosts,
+        "store.address": settings.store.address,
+    }
+    for place, address in places.items():
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            msg = f'{path}: {place}: must be an IP number and a port, got "{address}"'
+            raise SettingsError(msg)
+    return settings
+
+
+__all__ = [
+    "RouterSettings",
+    "SettingsError",
+    "load_settings",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/store.py
@@ -0,0 +1,104 @@
+"""The store that keeps what must last, as the router sees it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Table(Enum):
+    """What is kept; the adapter gives each its name in the store."""
+
+    ROUTING = "routing"
+    ENDPOINTS = "endpoints"
+    HOSTS = "hosts"
+    LEASE = "lease"
+
+
+class StoreError(Exception):
+    """The store did not do what was asked."""
+
+
+class StoreRefusedError(StoreError):
+    """The store answered that it did nothing."""
+
+
+class StoreSilentError(StoreError):
+    """No answer came: a write may have been done, or may be done later."""
+
+
+class HistoryGoneError(StoreError):
+    """The changes since the given version are no longer kept."""
+
+
+class ConditionError(StoreError):
+    """A row had another version than the write expected."""
+
+    def __init__(self, row: Row | None, now_s: float) -> None:
+        super().__init__("the row has another version")
+        self.row = row
+        self.now_s = now_s
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """A row; ``deleted`` rows stand only in changes."""
+
+    key: str
+    value: bytes
+    version: int
+    deleted: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Page:
+    """Rows as of one version; ``now_s`` is the store's steady clock."""
+
+    rows: tuple[Row, ...]
+    version: int
+    now_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Written:
+    """An accepted write."""
+
+    version: int
+    now_s: float
+
+
+class Store(ABC):
+    """Calls of the store; each raises a ``StoreError`` if it fails."""
+
+    @abstractmethod
+    async def read(self, table: Table, deadline: float) -> Page:
+        """Return all rows of a table as of one version."""
+
+    @abstractmethod
+    async def changes(self, table: Table, after: int, wait_s: float) -> Page:
+        """Return the rows changed since a version, waiting for the first."""
+
+    @abstractmethod
+    async def write(
+        self, table: Table, key: str, value: bytes, expected: int, deadline: float
+    ) -> Written:
+        """Write a row if it has the expected version (0: it does not exist)."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connections."""
+
+
+__all__ = [
+    "ConditionError",
+    "HistoryGoneError",
+    "Page",
+    "Row",
+    "Store",
+    "StoreError",
+    "StoreRefusedError",
+    "StoreSilentError",
+    "Table",
+    "Written",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as a request."""
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -0,0 +1,210 @@
+"""Relaying of requests that have one answer."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from hemlockhall_router.connection.client import ClientConnection
+from hemlockhall_router.connection.error import BrokenError, NotSentError, WireError
+from hemlockhall_router.request.reason import Refusal, Retry
+from hemlockhall_router.request.work import Occupied, Tools, Work, outgoing
+
+if TYPE_CHECKING:
+    from hemlockhall_router.connection.message import Response
+    from hemlockhall_router.process.directory import Held
+    from hemlockhall_router.request.reply import Reply
+
+# Seconds a connection may take to open: far above the delay inside a region,
+# far below the objectives.
+CONNECT_S = 0.3
+# An idempotent request is sent to another endpoint when one has been silent
+# for this many times its usual latency, but never sooner than the floor.
+PATIENCE_FACTOR = 6.0
+PATIENCE_FLOOR_S = 0.4
+# Endpoints tried that did not run the request; it bounds the work that a
+# refused request makes, since these tries are not limited by the route.
+MAX_REFUSALS = 4
+# Foreign answers skipped on one connection before it is given up.
+MAX_FOREIGN = 3
+# Retry-After where all endpoints are full or none is there, in seconds.
+FULL_AGAIN_S = 0.5
+ABSENT_AGAIN_S = 1.0
+
+
+class _Again(Exception):
+    """The try failed; ``ran`` tells whether it may have run."""
+
+    def __init__(self, reason: Retry, cause: str, *, ran: bool) -> None:
+        super().__init__(cause)
+        self.reason = reason
+        self.ran = ran
+        self.response: Response | None = None
+
+
+class PlainRelay:
+    """Relays one request with one answer."""
+
+    def __init__(self, work: Work, tools: Tools, reply: Reply) -> None:
+        self._work = work
+        self._tools = tools
+        self._reply = reply
+        self._tried: set[str] = set()
+        self._sent = 0
+        self._ran = False
+        self._refusals = 0
+        self._spare: Response | None = None
+
+    async def run(self) -> None:
+        """Send the request until it is answered or given up."""
+        work = self._work
+        while True:
+            held = self._tools.chooser.endpoint(work.service.name, self._tried)
+            if held is None or work.left_s <= 0:
+                await self._give_up(Refusal.NO_ENDPOINT)
+                return
+            if self._sent and not self._tools.budget.allow(work.service.name):
+                await self._give_up(Refusal.ENDPOINTS_FULL)
+                return
+            try:
+                response = await self._try(held)
+            except _Again as again:
+                if not self._continue(held, again):
+                    await self._give_up(Refusal.ENDPOINTS_FULL)
+                    return
+                continue
+            await self._reply.whole(response)
+            return
+
+    def _continue(self, held: Held, again: _Again) -> bool:
+        """Note a failed try; return whether another one may follow."""
+        work = self._work
+        self._tried.add(held.endpoint.id)
+        self._tools.metrics.retry(again.reason)
+        logger.info(
+            "try failed",
+            request=_text(work.id),
+            endpoint=held.endpoint.id,
+            reason=again.reason.value,
+            cause=str(again),
+            ran=again.ran,
+        )
+        if again.response is not None:
+            self._spare = again.response
+        if again.reason is not Retry.NOT_SENT:
+            self._sent += 1
+        if not again.ran:
+            self._refusals += 1
+            return self._refusals < MAX_REFUSALS
+        self._ran = True
+        return work.route.repeatable and len(self._tried) < work.route.max_endpoints
+
+    async def _try(self, held: Held) -> Response:
+        work, tools = self._work, self._tools
+        endpoint = held.endpoint
+        connect_deadline = min(work.deadline, time.monotonic() + CONNECT_S)
+        try:
+            if work.route.repeatable:
+                conn = await tools.pool.connect(endpoint.address, connect_deadline)
+            else:
+                # A kept connection may be closed by the endpoint just as the
+                # request leaves; nobody could tell then whether it ran.
+                host, port = endpoint.address
+                conn = await ClientConnection.open(host, port, connect_deadline)
+        except NotSentError as exc:
+            tools.directory.failed(endpoint.id, str(exc))
+            raise _Again(Retry.NOT_SENT, str(exc), ran=False) from exc
+        started = time.monotonic()
+        try:
+            with Occupied(tools.directory, [endpoint.id]):
+                response = await self._ask(conn, held)
+        except WireError as exc:
+            silent = time.monotonic() - started > PATIENCE_FLOOR_S
+            tools.directory.failed(endpoint.id, str(exc))
+            reason = Retry.SILENT if silent else Retry.BROKEN
+            raise _Again(reason, str(exc), ran=True) from exc
+        finally:
+            if not conn.reusable:
+                await conn.close()
+        await tools.pool.give(endpoint.address, conn, response.head)
+        return self._judge(held, response, time.monotonic() - started)
+
+    async def _ask(self, conn: ClientConnection, held: Held) -> Response:
+        work, tools = self._work, self._tools
+        text = outgoing(work, tools.dialect, held.endpoint)
+        await conn.send(text, work.deadline)
+        deadline = self._patience(held)
+        for _ in range(MAX_FOREIGN):
+            bodiless = work.head.method == b"HEAD"
+            response = await conn.whole(deadline, bodiless=bodiless)
+            echoed = response.head.header(tools.dialect.headers.request_id)
+            if echoed is None or echoed == work.id:
+                return response
+            # An answer to an earlier request of this connection came late; the
+            # answer to this one follows it.
+            logger.warning("foreign answer skipped", request=_text(work.id))
+        raise BrokenError("only answers to other requests came")
+
+    def _patience(self, held: Held) -> float:
+        work = self._work
+        if not work.route.repeatable or work.route.max_endpoints <= self._sent + 1:
+            return work.deadline
+        wait = max(PATIENCE_FLOOR_S, PATIENCE_FACTOR * held.latency_s)
+        return min(work.deadline, time.monotonic() + wait)
+
+    def _judge(self, held: Held, response: Response, took_s: float) -> Response:
+        """Return the answer to relay, or raise ``_Again``."""
+        names = self._tools.dialect.headers
+        status = response.head.status
+        key = held.endpoint.id
+        if response.head.header(names.not_run) is not None or status == 421:
+            if status == 421:
+                self._tools.directory.failed(key, "another endpoint has its address")
+            raise _Again(Retry.REJECTED, f"status {status}", ran=False)
+        if response.head.header(b"content-encoding") is not None:
+            raise _Again(Retry.FAILED, "the body is encoded", ran=True)
+        if status < 300 and response.head.header(names.signature) is None:
+            raise _Again(Retry.FAILED, "no signature", ran=True)
+        self._tools.directory.succeeded(key, took_s)
+        if status >= 500 and self._work.route.repeatable:
+            again = _Again(Retry.FAILED, f"status {status}", ran=True)
+            again.response = response
+            raise again
+        return response
+
+    async def _give_up(self, refusal: Refusal) -> None:
+        """Answer at once; 503 only if no try can have run."""
+        work = self._work
+        if self._spare is not None:
+            await self._reply.whole(self._spare)
+            return
+        late = work.left_s <= 0
+        if self._ran:
+            refusal = Refusal.TIMEOUT if late else Refusal.UNCERTAIN
+        elif late:
+            refusal = Refusal.DEADLINE
+        self._tools.metrics.refusal(refusal)
+        logger.warning(
+            "request given up",
+            request=_text(work.id),
+            route=work.route.name,
+            reason=refusal.value,
+            tried=sorted(self._tried),
+        )
+        if self._ran:
+            status = 504 if late else 502
+            await self._reply.own(status, "the endpoint did not answer")
+            return
+        again_s = FULL_AGAIN_S if self._refusals else ABSENT_AGAIN_S
+        await self._reply.own(503, "no endpoint can take the request", again_s)
+
+
+def _text(value: bytes) -> str:
+    return value.decode("latin-1")
+
+
+__all__ = [
+    "PlainRelay",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -0,0 +1,37 @@
+"""Why requests are refused, fail, or are sent again."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Refusal(Enum):
+    """Answers of this host's own; the value is the counter's label."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    UNREADABLE = "unreadable"
+    NO_ENDPOINT = "no_endpoint"
+    NO_PATH = "no_path"
+    ENDPOINTS_FULL = "endpoints_full"
+    DEADLINE = "deadline"
+    UNCERTAIN = "uncertain"
+    TIMEOUT = "timeout"
+
+
+class Retry(Enum):
+    """Why a request went to another endpoint."""
+
+    NOT_SENT = "not_sent"
+    REJECTED = "rejected"
+    BROKEN = "broken"
+    FAILED = "failed"
+    SILENT = "silent"
+    RESUMED = "resumed"
+
+
+__all__ = [
+    "Refusal",
+    "Retry",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/request/reply.py
@@ -0,0 +1,114 @@
+"""The answer to a caller."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hemlockhall_router.connection.message import (
+    REASONS,
+    forwardable,
+    response_text,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hemlockhall_router.connection.caller import CallerReader
+    from hemlockhall_router.connection.message import (
+        Headers,
+        RequestHead,
+        Response,
+        ResponseHead,
+    )
+
+CLOSE = (b"Connection", b"close")
+# Statuses that promise that the request did not run and never will.
+NOT_RUN = frozenset((408, 421, 429, 503))
+
+
+class Reply:
+    """One answer; after ``cut`` the connection cannot be used again.
+
+    Parameters
+    ----------
+    reader : CallerReader
+        The caller's connection.
+    head : RequestHead
+        The request that is answered.
+    closing : callable
+        Returns whether the connection should end after this answer.
+    """
+
+    def __init__(
+        self, reader: CallerReader, head: RequestHead, closing: Callable[[], bool]
+    ) -> None:
+        self._reader = reader
+        self._head = head
+        self._closing = closing
+        self.status = 0
+        self.close = False
+        self.complete = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head has been sent."""
+        return self.status != 0
+
+    async def whole(self, response: Response) -> None:
+        """Send an endpoint's complete answer unchanged."""
+        headers = _kept(response.head.headers)
+        headers.append((b"Content-Length", b"%d" % len(response.body)))
+        body = b"" if self._head.method == b"HEAD" else response.body
+        await self._send(response.head.status, response.head.reason, headers, body)
+        self.complete = True
+
+    async def own(
+        self, status: int, text: str, retry_after_s: float | None = None
+    ) -> None:
+        """Send an answer of this host's own."""
+        body = text.encode() + b"\n"
+        headers: Headers = [
+            (b"Content-Type", b"text/plain; charset=utf-8"),
+            (b"Content-Length", b"%d" % len(body)),
+        ]
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % retry_after_s))
+        if self._head.method == b"HEAD":
+            body = b""
+        await self._send(status, REASONS.get(status, b""), headers, body)
+        self.complete = True
+
+    async def stream(self, head: ResponseHead) -> None:
+        """Send the head of a stream; its events follow as chunks."""
+        headers = _kept(head.headers)
+        headers.append((b"Transfer-Encoding", b"chunked"))
+        await self._send(head.status, head.reason, headers, b"")
+
+    async def chunk(self, data: bytes) -> None:
+        """Send whole events of a stream."""
+        await self._reader.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def end(self) -> None:
+        """End a stream that is complete."""
+        await self._reader.send(b"0\r\n\r\n")
+        self.complete = True
+
+    async def _send(
+        self, status: int, reason: bytes, headers: Headers, body: bytes
+    ) -> None:
+        self.close = self.close or self._closing() or not self._head.keep_alive
+        if self.close:
+            headers.append(CLOSE)
+        self.status = status
+        await self._reader.send(response_text(status, reason, headers) + body)
+
+
+def _kept(headers: Headers) -> Headers:
+    kept = forwardable(headers)
+    return [(key, value) for key, value in kept if key.lower() != b"content-length"]
+
+
+__all__ = [
+    "NOT_RUN",
+    "Reply",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -0,0 +1,288 @@
+"""Relaying of streams, which go on elsewhere when an endpoint fails."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+from loguru import logger
+
+from hemlockhall_router.connection.error import NotSentError, WireError
+from hemlockhall_router.request.events import Splitter
+from hemlockhall_router.request.plain import ABSENT_AGAIN_S, CONNECT_S, FULL_AGAIN_S
+from hemlockhall_router.request.reason import Refusal, Retry
+from hemlockhall_router.request.work import Occupied, Tools, Work, outgoing
+
+if TYPE_CHECKING:
+    from hemlockhall_router.connection.client import ClientConnection
+    from hemlockhall_router.connection.message import ResponseHead
+    from hemlockhall_router.request.events import Event
+    from hemlockhall_router.request.reply import Reply
+    from hemlockhall_router.version.path import Path
+
+# Part of the objective after which a stream without a first event goes to
+# another path; what is left is enough to read the prompt there in time.
+FIRST_PART = 5.0
+# Part of the longest pause after which a stream goes on elsewhere; a resumed
+# stream's first event must come within the rest.
+PAUSE_PART = 5.0
+# Each silence doubles the patience, so that slow endpoints are not left for
+# ever new ones.
+PATIENCE_GROWTH = 2.0
+# Seconds assumed where the route states no objective or pause.
+UNSTATED_S = 2.0
+# Part of the objective for which a request without a path is kept: a path is
+# often back at once, and a caller that is refused comes back later than that.
+HOLD_PART = 0.5
+HOLD_POLL_S = 0.02
+# Tries for one request; it bounds the work that it makes.
+MAX_TRIES = 12
+
+
+class _Again(Exception):
+    """The try failed; ``ran`` tells whether it may have run."""
+
+    def __init__(self, reason: Retry, cause: str, *, ran: bool) -> None:
+        super().__init__(cause)
+        self.reason = reason
+        self.ran = ran
+
+
+class StreamRelay:
+    """Relays one stream."""
+
+    def __init__(self, work: Work, tools: Tools, reply: Reply) -> None:
+        self._work = work
+        self._tools = tools
+        self._reply = reply
+        self._last_id: bytes | None = None
+        self._ran = False
+        self._rejected = False
+        self._avoid: set[str] = set()
+        self._growth = 1.0
+        self._sent = 0
+        self._spare: ResponseHead | None = None
+
+    async def run(self) -> None:
+        """Relay the stream until it is complete or given up."""
+        for _ in range(MAX_TRIES):
+            path = await self._path()
+            if path is None or self._work.left_s <= 0:
+                break
+            allowed = not self._sent or self._tools.budget.allow(
+                self._work.service.name
+            )
+            if not allowed:
+                break
+            try:
+                await self._try(path)
+                return
+            except _Again as again:
+                if not self._continue(path, again):
+                    break
+        await self._give_up()
+
+    def _continue(self, path: Path, again: _Again) -> bool:
+        work = self._work
+        self._tools.metrics.retry(again.reason)
+        logger.info(
+            "stream broke",
+            request=_text(work.id),
+            reason=again.reason.value,
+            cause=str(again),
+            path=[part.endpoint.id for part in path.parts],
+            after=_text(self._last_id or b""),
+        )
+        if again.reason is not Retry.NOT_SENT:
+            self._sent += 1
+        if again.ran:
+            self._ran = True
+            return work.route.repeatable
+        self._rejected = True
+        return True
+
+    async def _path(self) -> Path | None:
+        """Return a path, waiting a moment for one to come back."""
+        work, chooser = self._work, self._tools.chooser
+        objective = work.route.objective_s or UNSTATED_S
+        deadline = min(work.deadline, time.monotonic() + objective * HOLD_PART)
+        while True:
+            path = chooser.path(work.service, self._avoid)
+            if path is None and self._avoid:
+                # Better an endpoint that failed a moment ago than none.
+                path = chooser.path(work.service, set())
+            if path is not None or time.monotonic() >= deadline:
+                return path
+            await anyio.sleep(HOLD_POLL_S)
+
+    async def _try(self, path: Path) -> None:
+        work, tools = self._work, self._tools
+        address = path.first.address
+        connect_deadline = min(work.deadline, time.monotonic() + CONNECT_S)
+        try:
+            conn = await tools.pool.connect(address, connect_deadline)
+        except NotSentError as exc:
+            tools.directory.failed(path.first.id, str(exc))
+            self._avoid.add(path.first.id)
+            raise _Again(Retry.NOT_SENT, str(exc), ran=False) from exc
+        ids = [part.endpoint.id for part in path.parts]
+        try:
+            with Occupied(tools.directory, ids):
+                head = await self._relay(conn, path)
+        except WireError as exc:
+            tools.prober.doubt(ids)
+            self._growth *= PATIENCE_GROWTH
+            silent = "in time" in str(exc)
+            if silent:
+                self._avoid.update(ids)
+            raise _Again(
+                Retry.SILENT if silent else Retry.BROKEN, str(exc), ran=True
+            ) from exc
+        finally:
+            if not conn.reusable:
+                await conn.close()
+        await tools.pool.give(address, conn, head)
+
+    async def _relay(self, conn: ClientConnection, path: Path) -> ResponseHead:
+        work, tools = self._work, self._tools
+        text = outgoing(work, tools.dialect, path.first, path, self._last_id)
+        started = time.monotonic()
+        await conn.send(text, work.deadline)
+        head = await conn.head(self._first_deadline())
+        echoed = head.header(tools.dialect.headers.request_id)
+        while echoed is not None and echoed != work.id:
+            # A late answer to an earlier request of this connection.
+            while await conn.chunk(self._first_deadline()) is not None:
+                continue
+            head = await conn.head(self._first_deadline())
+            echoed = head.header(tools.dialect.headers.request_id)
+        await self._judge(conn, head, path)
+        await self._events(conn, head, path, started)
+        return head
+
+    async def _judge(
+        self, conn: ClientConnection, head: ResponseHead, path: Path
+    ) -> None:
+        """Raise ``_Again`` unless the answer is a stream to relay."""
+        names = self._tools.dialect.headers
+        not_run = head.header(names.not_run) is not None or head.status == 421
+        if not_run:
+            self._blame(head, path)
+            raise _Again(Retry.REJECTED, f"status {head.status}", ran=False)
+        if head.status >= 300:
+            raise _Again(Retry.FAILED, f"status {head.status}", ran=True)
+        if head.header(names.signature) is None:
+            raise _Again(Retry.FAILED, "no signature", ran=True)
+        if head.header(b"content-encoding") is not None:
+            raise _Again(Retry.FAILED, "the body is encoded", ran=True)
+
+    def _blame(self, head: ResponseHead, path: Path) -> None:
+        at_fault = _text(head.header(self._tools.dialect.headers.at_fault) or b"")
+        for part in path.parts:
+            host, port = part.endpoint.address
+            if at_fault != f"{host}:{port}":
+                continue
+            self._avoid.add(part.endpoint.id)
+            self._tools.directory.failed(part.endpoint.id, f"status {head.status}")
+            self._tools.prober.doubt([part.endpoint.id])
+            return
+        self._avoid.add(path.first.id)
+
+    async def _events(
+        self, conn: ClientConnection, head: ResponseHead, path: Path, started: float
+    ) -> None:
+        splitter = Splitter()
+        deadline = self._first_deadline()
+        first = True
+        while True:
+            data = await conn.chunk(deadline)
+            if data is None:
+                break
+            events = self._fresh(splitter.feed(data))
+            if not events:
+                continue
+            if first:
+                first = False
+                took = time.monotonic() - started
+                self._tools.directory.succeeded(path.first.id, took)
+                self._tools.metrics.first_event(took)
+            if not self._reply.started:
+                await self._reply.stream(head)
+            await self._reply.chunk(b"".join(event.text for event in events))
+            self._last_id = events[-1].id or self._last_id
+            deadline = self._pause_deadline()
+        if splitter.partial or not self._reply.started:
+            raise _Again(Retry.BROKEN, "ended inside an event", ran=True)
+        await self._reply.end()
+
+    def _fresh(self, events: list[Event]) -> list[Event]:
+        """Leave out events that the caller has; ids only increase."""
+        fresh = []
+        last = _number(self._last_id)
+        for event in events:
+            number = _number(event.id)
+            if last is not None and number is not None and number <= last:
+                continue
+            last = number if number is not None else last
+            fresh.append(event)
+        return fresh
+
+    def _first_deadline(self) -> float:
+        if not self._work.route.repeatable:
+            return self._work.deadline
+        objective = self._work.route.objective_s or UNSTATED_S
+        patience = objective * FIRST_PART * self._growth
+        return min(self._work.deadline, time.monotonic() + patience)
+
+    def _pause_deadline(self) -> float:
+        if not self._work.route.repeatable:
+            return self._work.deadline
+        pause = self._work.route.pause_s or UNSTATED_S
+        patience = pause * PAUSE_PART * self._growth
+        return min(self._work.deadline, time.monotonic() + patience)
+
+    async def _give_up(self) -> None:
+        work, reply = self._work, self._reply
+        late = work.left_s <= 0
+        if reply.started:
+            refusal = Refusal.TIMEOUT if late else Refusal.UNCERTAIN
+        elif self._ran and not work.route.repeatable:
+            refusal = Refusal.TIMEOUT if late else Refusal.UNCERTAIN
+        elif self._rejected or self._ran:
+            refusal = Refusal.ENDPOINTS_FULL
+        else:
+            refusal = Refusal.DEADLINE if late else Refusal.NO_PATH
+        self._tools.metrics.refusal(refusal)
+        logger.warning(
+            "stream given up",
+            request=_text(work.id),
+            route=work.route.name,
+            reason=refusal.value,
+            after=_text(self._last_id or b""),
+            tries=self._sent,
+        )
+        if reply.started:
+            # The caller must see that the stream is not complete.
+            reply.close = True
+            return
+        if self._ran:
+            await reply.own(504 if late else 502, "the endpoint did not answer")
+            return
+        again_s = FULL_AGAIN_S if self._rejected else ABSENT_AGAIN_S
+        await reply.own(503, "no path can take the request", again_s)
+
+
+def _number(value: bytes | None) -> int | None:
+    if value is None or not value.isdigit():
+        return None
+    return int(value)
+
+
+def _text(value: bytes) -> str:
+    return value.decode("latin-1")
+
+
+__all__ = [
+    "StreamRelay",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/request/work.py
@@ -0,0 +1,126 @@
+"""A caller's request, and what relaying it needs."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hemlockhall_router.connection.message import forwardable, request_text
+
+if TYPE_CHECKING:
+    from hemlockhall_router.connection.message import Headers, RequestHead
+    from hemlockhall_router.connection.pool import Pool
+    from hemlockhall_router.process.budget import Budget
+    from hemlockhall_router.process.chooser import Chooser
+    from hemlockhall_router.process.dialect import Dialect, Tokens
+    from hemlockhall_router.process.directory import Directory, Held
+    from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.process.prober import Prober
+    from hemlockhall_router.version.endpoint import Endpoint
+    from hemlockhall_router.version.path import Path
+    from hemlockhall_router.version.routing import Customer, Route, Service
+
+# Seconds taken off the time that an endpoint is told, for the way there.
+WAY_S = 0.005
+
+
+@dataclass(slots=True)
+class Tools:
+    """What a relay uses of the process."""
+
+    dialect: Dialect
+    pool: Pool
+    directory: Directory
+    chooser: Chooser
+    budget: Budget
+    metrics: Metrics
+    prober: Prober
+
+
+@dataclass(slots=True)
+class Work:
+    """A caller's request with its route; deadlines are monotonic seconds."""
+
+    head: RequestHead
+    body: bytes
+    route: Route
+    service: Service
+    customer: Customer | None
+    id: bytes
+    deadline: float
+    tokens: Tokens | None = None
+
+    @property
+    def left_s(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline - time.monotonic()
+
+
+def outgoing(
+    work: Work,
+    dialect: Dialect,
+    endpoint: Endpoint,
+    path: Path | None = None,
+    resume_after: bytes | None = None,
+) -> bytes:
+    """Return the request as an endpoint gets it.
+
+    The caller's own copies of headers that this host sets go first: a caller
+    that names a customer or an endpoint itself would act for somebody else.
+    """
+    names = dialect.headers
+    ours = {
+        b"content-length",
+        names.api_key,
+        names.customer,
+        names.deadline_ms,
+        names.expected_endpoint,
+        names.path,
+        names.urgency,
+        names.not_run,
+        names.at_fault,
+    }
+    if resume_after is not None:
+        ours.add(names.resume_after)
+    headers: Headers = []
+    for key, value in forwardable(work.head.headers):
+        if key.lower() not in ours:
+            headers.append((key, value))
+    left_ms = max(1, int((work.left_s - WAY_S) * 1000))
+    headers.append((names.deadline_ms, b"%d" % left_ms))
+    headers.append((names.expected_endpoint, endpoint.id.encode()))
+    if work.customer is not None:
+        headers.append((names.customer, work.customer.name.encode()))
+    if path is not None:
+        headers.append((names.path, dialect.path_text(path)))
+    if resume_after is not None:
+        headers.append((names.resume_after, resume_after))
+    return request_text(work.head.method, work.head.target, headers, work.body)
+
+
+class Occupied:
+    """Counts a request at the endpoints that it uses, while open."""
+
+    def __init__(self, directory: Directory, ids: list[str]) -> None:
+        self._held: list[Held] = []
+        for key in ids:
+            held = directory.held.get(key)
+            if held is not None:
+                self._held.append(held)
+
+    def __enter__(self) -> None:
+        for held in self._held:
+            held.in_flight += 1
+
+    def __exit__(self, *_: object) -> None:
+        for held in self._held:
+            held.in_flight -= 1
+
+
+__all__ = [
+    "Occupied",
+    "Tools",
+    "Work",
+    "outgoing",
+]
