--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -78,8 +78,8 @@
         self._endpoints_watch = Watch(
             self._store, Table.ENDPOINTS, self._endpoints_changed
         )
-        self._directory = Directory(self._dialect.endpoint, self._outage, lambda: None)
-        self._lease = Lease(self._store, host.name, self._boot)
+        self.directory = Directory(self._dialect.endpoint, self._outage, lambda: None)
+        self.lease = Lease(self._store, host.name, self._boot)
         self._hosts = Hosts(
             host.name,
             settings.listen.hosts,
@@ -92,24 +92,24 @@
         self._budget = Budget(
             retry.ratio, retry.constant, retry.window_s, self._hosts.count
         )
-        self._prober = Prober(self._dialect, self._directory)
-        chooser = Chooser(self._directory, host.data_centre)
+        self._prober = Prober(self._dialect, self.directory)
+        chooser = Chooser(self.directory, host.data_centre)
         self._pool = Pool()
         tools = Tools(
             self._dialect,
             self._pool,
-            self._directory,
+            self.directory,
             chooser,
             self._budget,
             metrics,
             self._prober,
         )
-        self._front = Front(tools, lambda: self.routing)
+        self.front = Front(tools, lambda: self.routing)
         self._planner = Planner(
             self._dialect,
-            self._directory,
+            self.directory,
             self._hosts,
-            self._lease,
+            self.lease,
             self._prober,
             metrics,
             lambda: self.routing,
@@ -127,7 +127,7 @@
             self._group = group
             group.start_soon(self._signals)
             group.start_soon(self._listen, listen.ready, self._serve_ready)
-            group.start_soon(self._listen, listen.callers, self._front.serve)
+            group.start_soon(self._listen, listen.callers, self.front.serve)
             group.start_soon(self._routes_watch.run)
             group.start_soon(self._endpoints_watch.run)
             group.start_soon(self._hosts.run)
@@ -140,7 +140,7 @@
     def ready(self) -> bool:
         """Whether new connections should come here."""
         known = self._endpoints_watch.version > 0
-        return self.routing is not None and known and not self._front.leaving
+        return self.routing is not None and known and not self.front.leaving
 
     async def _listen(self, address: str, serve) -> None:  # noqa: ANN001
         host, _, port = address.rpartition(":")
@@ -192,7 +192,7 @@
             logger.info("configuration in force", version=routing.version)
 
     def _endpoints_changed(self, rows: list[Row]) -> None:
-        self._directory.take(rows)
+        self.directory.take(rows)
 
     def _outage(self) -> float:
         """Return until when a missing entry may come back, or 0."""
@@ -206,7 +206,7 @@
 
     def _describe(self, peers: list[str]) -> Status:
         loads = {}
-        for key, held in self._directory.held.items():
+        for key, held in self.directory.held.items():
             if held.in_flight:
                 loads[key] = held.in_flight
         watches = (self._routes_watch, self._endpoints_watch)
@@ -216,16 +216,16 @@
             boot=self._boot,
             versions={watch.table.value: watch.version for watch in watches},
             loads=loads,
-            fence=self._lease.fence if self._lease.held else 0,
-            leaving=self._front.leaving,
+            fence=self.lease.fence if self.lease.held else 0,
+            leaving=self.front.leaving,
             peers=peers,
         )
 
     async def _upkeep(self) -> None:
         while True:
             await anyio.sleep(UPKEEP_S)
-            self._directory.expire()
-            self._directory.set_elsewhere(self._hosts.loads())
+            self.directory.expire()
+            self.directory.set_elsewhere(self._hosts.loads())
             await self._pool.sweep()
 
     async def _settings_watch(self) -> None:
@@ -252,24 +252,24 @@
             async for signum in received:
                 if signum == signal.SIGHUP:
                     self._reload()
-                elif not self._front.leaving:
+                elif not self.front.leaving:
                     assert self._group is not None
-                    self._group.start_soon(self._leave)
+                    self._group.start_soon(self.leave)
 
-    async def _leave(self) -> None:
+    async def leave(self) -> None:
         """Serve on until the balancer has noticed, then end."""
-        logger.info("leaving", open_requests=self._front.open_requests)
+        logger.info("leaving", open_requests=self.front.open_requests)
         began = time.monotonic()
         end = began + self._settings.leave.grace_s - END_MARGIN_S
-        self._front.leaving = True
+        self.front.leaving = True
         self._planner.stopped = True
-        await self._lease.release()
+        await self.lease.release()
         await anyio.sleep(max(0.0, began + NOTICE_S - time.monotonic()))
-        while self._front.open_requests and time.monotonic() < end:
-            self._front.close_idle()
+        while self.front.open_requests and time.monotonic() < end:
+            self.front.close_idle()
             await anyio.sleep(0.05)
-        self._front.close_idle()
-        logger.info("end", open_requests=self._front.open_requests)
+        self.front.close_idle()
+        logger.info("end", open_requests=self.front.open_requests)
         assert self._group is not None
         self._group.cancel_scope.cancel()
 
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -103,17 +103,20 @@
         return True
 
     async def _path(self) -> Path | None:
-        """Return a path, waiting a moment for one to come back."""
+        """Return a path, waiting a moment for one to come back.
+
+        After that moment an endpoint that failed this request is better than
+        none: it may have restarted, and waiting first keeps the tries apart.
+        """
         work, chooser = self._work, self._tools.chooser
         objective = work.route.objective_s or UNSTATED_S
         deadline = min(work.deadline, time.monotonic() + objective * HOLD_PART)
         while True:
             path = chooser.path(work.service, self._avoid)
-            if path is None and self._avoid:
-                # Better an endpoint that failed a moment ago than none.
-                path = chooser.path(work.service, set())
-            if path is not None or time.monotonic() >= deadline:
+            if path is not None:
                 return path
+            if time.monotonic() >= deadline:
+                return chooser.path(work.service, set())
             await anyio.sleep(HOLD_POLL_S)
 
     async def _try(self, path: Path) -> None:
@@ -134,8 +137,7 @@
             tools.prober.doubt(ids)
             self._growth *= PATIENCE_GROWTH
             silent = "in time" in str(exc)
-            if silent:
-                self._avoid.update(ids)
+            self._avoid.update(ids if silent else ids[:1])
             raise _Again(
                 Retry.SILENT if silent else Retry.BROKEN, str(exc), ran=True
             ) from exc
--- /dev/null
+++ b/packages/standins/src/hemlockhall_standins/router/dialect.py
@@ -0,0 +1,249 @@
+"""A plain dialect for tests: short header names, rows as JSON."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hemlockhall_router.connection.caller import CallerLimits
+from hemlockhall_router.process.dialect import (
+    Call,
+    DecodeError,
+    Dialect,
+    HeaderNames,
+    Tokens,
+    dialect,
+)
+from hemlockhall_router.version.endpoint import Endpoint, LayerRange, Report
+from hemlockhall_router.version.routing import (
+    Accelerator,
+    Customer,
+    Kind,
+    Model,
+    Route,
+    Routing,
+    Service,
+    Target,
+)
+from hemlockhall_standins.router.store import MemoryStore
+
+if TYPE_CHECKING:
+    from hemlockhall_router.connection.message import RequestHead
+    from hemlockhall_router.process.store import Store
+    from hemlockhall_router.version.path import Path
+
+LAYERS = 8
+STORES: dict[str, MemoryStore] = {}
+_numbers = itertools.count(1)
+
+
+def new_store() -> tuple[str, MemoryStore]:
+    """Return an address and the store that the dialect finds there."""
+    address = f"127.0.0.1:{next(_numbers)}"
+    STORES[address] = MemoryStore()
+    return address, STORES[address]
+
+
+class RouteRow(msgspec.Struct):
+    """A route as tests write it."""
+
+    prefix: str
+    kind: str
+    service: str
+    tries: int = 2
+    resumable: bool = False
+    timeout_s: float = 5.0
+    objective_s: float = 0.3
+    pause_s: float = 0.2
+    host: str = "hall.example"
+
+
+class RoutingRow(msgspec.Struct):
+    """A configuration as tests write it; ``keys`` are customers by key."""
+
+    version: int
+    routes: list[RouteRow]
+    keys: dict[str, str] | None = None
+    body_bytes: int = 1_000_000
+    header_bytes: int = 4096
+    header_s: float = 0.4
+    idle_s: float = 5.0
+
+
+class EndpointRow(msgspec.Struct):
+    """An endpoint as tests write it."""
+
+    service: str
+    port: int
+    place: str = "here"
+    draining: bool = False
+    layers: tuple[int, int] | None = None
+    accelerator: str = ""
+    orders: int = 0
+    born: int = 1
+    slots: int = 8
+
+
+class ReportRow(msgspec.Struct):
+    """An endpoint's answer for its state."""
+
+    busy: bool = False
+    orders: int = 0
+    layers: tuple[int, int] | None = None
+    born: int = 1
+
+
+class OrderRow(msgspec.Struct):
+    """An order to hold layers."""
+
+    layers: tuple[int, int]
+    orders: int
+    fence: int
+
+
+def model(layers: int = LAYERS) -> Model:
+    """Return a small model."""
+    kinds = {
+        "big": Accelerator(8.0, 1.0, 1.0),
+        "small": Accelerator(4.0, 4.0, 4.0),
+    }
+    return Model(
+        layers=layers,
+        layer_mb=1.0,
+        kv_bytes=8000.0,
+        activation_bytes=100.0,
+        load_s=0.1,
+        step_ms=1.0,
+        sequence_ms=0.01,
+        read_per_s=100_000.0,
+        pipe_mbps=1000.0,
+        accelerators=kinds,
+        usual_prompt=50.0,
+        usual_answer=20.0,
+        loads_at_once=4,
+    )
+
+
+@dialect("standin")
+class StandinDialect(Dialect):
+    """The dialect of the tests."""
+
+    headers = HeaderNames(
+        request_id=b"request-id",
+        deadline_ms=b"deadline-ms",
+        api_key=b"api-key",
+        customer=b"customer",
+        expected_endpoint=b"expected-endpoint",
+        endpoint_id=b"endpoint-id",
+        not_run=b"not-run",
+        signature=b"signature",
+        path=b"path",
+        at_fault=b"at-fault",
+        resume_after=b"resume-after",
+        urgency=b"urgency",
+    )
+    ready_path = b"/ready"
+
+    def store(self, address: str) -> Store:
+        """Return the store that ``new_store`` made."""
+        return STORES[address]
+
+    def routing(self, key: str, value: bytes) -> Routing | None:
+        """Decode a ``RoutingRow``."""
+        try:
+            row = msgspec.json.decode(value, type=RoutingRow)
+        except msgspec.DecodeError as exc:
+            raise DecodeError(str(exc)) from exc
+        limits = CallerLimits(
+            row.header_bytes, row.body_bytes, row.header_s, row.idle_s
+        )
+        routing = Routing(row.version, limits=limits, keys_wanted=row.keys is not None)
+        for entry in row.routes:
+            routing.add(_route(entry))
+            split = model() if entry.kind == "stream" else None
+            routing.services[entry.service] = Service(entry.service, "/", 0, 8, split)
+        for name, customer in (row.keys or {}).items():
+            routing.customers[name.encode()] = Customer(customer)
+        return routing
+
+    def endpoint(self, key: str, value: bytes) -> Endpoint | None:
+        """Decode an ``EndpointRow``."""
+        try:
+            row = msgspec.json.decode(value, type=EndpointRow)
+        except msgspec.DecodeError:
+            return None
+        return Endpoint(
+            id=key,
+            service=row.service,
+            host="127.0.0.1",
+            port=row.port,
+            data_centre=row.place,
+            slots=row.slots,
+            draining=row.draining,
+            born=row.born,
+            orders=row.orders,
+            accelerator=row.accelerator,
+            layers=LayerRange(*row.layers) if row.layers else None,
+        )
+
+    def tokens(self, head: RequestHead) -> Tokens | None:
+        """Tests state no sizes."""
+        return None
+
+    def path_text(self, path: Path) -> bytes:
+        """Encode a path as ids with layers."""
+        parts = []
+        for part in path.parts:
+            parts.append(f"{part.endpoint.id}:{part.layers.first}-{part.layers.end}")
+        return " ".join(parts).encode()
+
+    def report_call(self) -> Call:
+        """Return the call for an endpoint's state."""
+        return Call(b"GET", b"/state", [])
+
+    def report(self, body: bytes) -> Report:
+        """Decode a ``ReportRow``."""
+        try:
+            row = msgspec.json.decode(body, type=ReportRow)
+        except msgspec.DecodeError as exc:
+            raise DecodeError(str(exc)) from exc
+        layers = LayerRange(*row.layers) if row.layers else None
+        return Report(row.busy, row.orders, 0, 0, 0, 0, layers, row.born)
+
+    def place_call(self, layers: LayerRange, orders: int, fence: int) -> Call:
+        """Encode an ``OrderRow``."""
+        row = OrderRow((layers.first, layers.end), orders, fence)
+        return Call(b"POST", b"/hold", [], msgspec.json.encode(row))
+
+    def repath_call(self, request_id: bytes, path: Path) -> Call:
+        """Tests give no such order yet."""
+        return Call(b"POST", b"/move", [], request_id + b" " + self.path_text(path))
+
+
+def _route(entry: RouteRow) -> Route:
+    return Route(
+        name=entry.prefix,
+        host=entry.host.encode(),
+        prefix=entry.prefix.encode(),
+        kind=Kind(entry.kind),
+        timeout_s=entry.timeout_s,
+        objective_s=entry.objective_s,
+        targets=(Target(entry.service, 1.0),),
+        max_endpoints=entry.tries,
+        resumable=entry.resumable,
+        pause_s=entry.pause_s,
+    )
+
+
+__all__ = [
+    "EndpointRow",
+    "OrderRow",
+    "ReportRow",
+    "RouteRow",
+    "RoutingRow",
+    "StandinDialect",
+    "model",
+    "new_store",
+]
--- /dev/null
+++ b/tests/router/test_layout.py
@@ -0,0 +1,205 @@
+"""Layouts: whole copies, memory never over, holes filled."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hemlockhall_router.version.endpoint import Endpoint, LayerRange
+from hemlockhall_router.version.layout import Member, holes, plan
+from hemlockhall_router.version.path import find_path
+from hemlockhall_router.version.routing import Accelerator, Model
+
+KINDS = {
+    "h": Accelerator(72_000.0, 1.4, 1.0),
+    "a": Accelerator(36_000.0, 3.1, 3.2),
+    "l": Accelerator(21_600.0, 16.0, 8.2),
+    "t": Accelerator(14_400.0, 15.0, 15.0),
+}
+MODEL = Model(
+    layers=80,
+    layer_mb=1750.0,
+    kv_bytes=1_180_000.0,
+    activation_bytes=59_000.0,
+    load_s=14.0,
+    step_ms=0.85,
+    sequence_ms=0.0076,
+    read_per_s=196_000.0,
+    pipe_mbps=13_000.0,
+    accelerators=KINDS,
+    usual_prompt=772.0,
+    usual_answer=167.0,
+    loads_at_once=6,
+)
+PLACES = {"x": "alllllllltttt", "y": "aallllttttttt", "z": "halllllttttttt"}
+
+
+def endpoints(places: dict[str, str] = PLACES) -> list[Endpoint]:
+    made = []
+    for place, kinds in places.items():
+        for number, kind in enumerate(kinds):
+            key = f"{place}{number:02}"
+            made.append(Endpoint(key, "pool", "10.0.0.1", 1, place, accelerator=kind))
+    return made
+
+
+def settle(found: list[Endpoint], held: dict[str, LayerRange | None]) -> int:
+    """Carry out orders until there are none; return how many there were."""
+    count = 0
+    for _ in range(40):
+        orders = plan(MODEL, found, held)
+        if not orders:
+            return count
+        count += len(orders)
+        held.update(orders)
+    pytest.fail("the plan does not come to rest")
+
+
+def uncovered(found: list[Endpoint], held: dict, place: str) -> list[LayerRange]:
+    members = []
+    for endpoint in found:
+        if endpoint.data_centre == place and held.get(endpoint.id):
+            members.append(Member(endpoint, 1, held[endpoint.id]))
+    return holes(MODEL, members)
+
+
+def within_memory(found: list[Endpoint], held: dict) -> bool:
+    for endpoint in found:
+        layers = held.get(endpoint.id)
+        if layers and layers.size > MODEL.capacity(endpoint.accelerator):
+            return False
+    return True
+
+
+def filling(endpoint: Endpoint, held: dict) -> float:
+    if endpoint.data_centre != "x":
+        return 0.0
+    return held[endpoint.id].size / MODEL.capacity(endpoint.accelerator)
+
+
+class TestFirstPlan:
+    def test_each_data_centre_holds_a_copy_within_memory(self) -> None:
+        found = endpoints()
+        held: dict[str, LayerRange | None] = {}
+        assert settle(found, held) == len(found)
+        assert within_memory(found, held)
+        for place in PLACES:
+            assert uncovered(found, held, place) == []
+
+    def test_small_data_centres_share_a_copy(self) -> None:
+        found = endpoints({"x": "ll", "y": "hh", "z": "tt"})
+        held: dict[str, LayerRange | None] = {}
+        settle(found, held)
+        members = [Member(e, 1, held[e.id]) for e in found if held.get(e.id)]
+        assert holes(MODEL, members) == []
+        assert within_memory(found, held)
+
+
+class TestLoss:
+    @pytest.mark.parametrize("place", list(PLACES))
+    def test_any_single_loss_is_mended(self, place: str) -> None:
+        for lost in range(len(PLACES[place])):
+            found = endpoints()
+            held: dict[str, LayerRange | None] = {}
+            settle(found, held)
+            found = [e for e in found if e.id != f"{place}{lost:02}"]
+            settle(found, held)
+            assert uncovered(found, held, place) == [], lost
+            assert within_memory(found, held)
+
+    def test_an_endpoint_that_comes_back_empty_relieves_its_neighbours(self) -> None:
+        found = endpoints()
+        held: dict[str, LayerRange | None] = {}
+        settle(found, held)
+        without = [e for e in found if e.id != "x05"]
+        settle(without, held)
+        tight = max(without, key=lambda e: filling(e, held))
+        held["x05"] = None
+        settle(found, held)
+        assert uncovered(found, held, "x") == []
+        relief = held["x05"]
+        assert relief is not None
+        assert relief.first < held[tight.id].end
+        assert held[tight.id].first < relief.end
+
+    @given(st.integers(0, 10_000))
+    def test_any_losses_leave_copies_where_memory_suffices(self, seed: int) -> None:
+        rng = random.Random(seed)
+        found = endpoints()
+        held: dict[str, LayerRange | None] = {}
+        settle(found, held)
+        for _ in range(3):
+            for endpoint in rng.sample(found, rng.randint(1, 4)):
+                if rng.random() < 0.5:
+                    held[endpoint.id] = None
+                else:
+                    found.remove(endpoint)
+                    held.pop(endpoint.id)
+            settle(found, held)
+            assert within_memory(found, held)
+        for place in PLACES:
+            total = sum(
+                MODEL.capacity(e.accelerator) for e in found if e.data_centre == place
+            )
+            if total >= MODEL.layers * 1.2:
+                assert uncovered(found, held, place) == []
+
+
+class TestPaths:
+    @given(st.integers(0, 10_000))
+    def test_a_path_runs_every_layer_once_in_order(self, seed: int) -> None:
+        rng = random.Random(seed)
+        found = []
+        for endpoint in endpoints():
+            first = rng.randrange(0, 75)
+            layers = LayerRange(first, min(80, first + rng.randint(1, 20)))
+            found.append(
+                Endpoint(
+                    endpoint.id,
+                    "pool",
+                    "10.0.0.1",
+                    1,
+                    endpoint.data_centre,
+                    accelerator=endpoint.accelerator,
+                    layers=layers,
+                )
+            )
+        path = find_path(MODEL, found, "x", lambda endpoint: 1.0)
+        covered = {n for e in found for n in range(e.layers.first, e.layers.end)}
+        if len(covered) < 80:
+            assert path is None
+            return
+        assert path is not None
+        reached = 0
+        for part in path.parts:
+            assert part.layers.first == reached
+            assert part.endpoint.layers.first <= part.layers.first
+            assert part.layers.end <= part.endpoint.layers.end
+            reached = part.layers.end
+        assert reached == 80
+        ids = [part.endpoint.id for part in path.parts]
+        assert len(ids) == len(set(ids))
+
+    def test_a_path_stays_inside_a_data_centre(self) -> None:
+        found = endpoints()
+        held: dict[str, LayerRange | None] = {}
+        settle(found, held)
+        holders = []
+        for e in found:
+            holders.append(
+                Endpoint(
+                    e.id,
+                    "pool",
+                    "10.0.0.1",
+                    1,
+                    e.data_centre,
+                    accelerator=e.accelerator,
+                    layers=held[e.id],
+                )
+            )
+        for place in PLACES:
+            path = find_path(MODEL, holders, place, lambda endpoint: 1.0)
+            assert {part.endpoint.data_centre for part in path.parts} == {place}
--- /dev/null
+++ b/tests/router/test_planner.py
@@ -0,0 +1,61 @@
+"""Orders: given once, conditional, for what is missing."""
+
+from __future__ import annotations
+
+import pytest
+
+from hemlockhall_router.version.endpoint import Endpoint, LayerRange
+from hemlockhall_router.version.layout import Member, holes
+from hemlockhall_standins.router.dialect import RouteRow, model
+from hemlockhall_standins.router.endpoint import Arrival, ScriptedEndpoint
+from hemlockhall_standins.router.hall import Hall, hall
+
+pytestmark = pytest.mark.anyio
+
+ROUTES = [RouteRow("/draft/", "stream", "pool", resumable=True)]
+EMPTY = {"service": "pool", "accelerator": "small"}
+
+
+async def unused(arrival: Arrival) -> None:
+    await arrival.refuse()
+
+
+def missing(pool: list[ScriptedEndpoint]) -> list[LayerRange]:
+    members = []
+    for endpoint in pool:
+        if endpoint.state.layers is None:
+            continue
+        entry = Endpoint(endpoint.name, "pool", "127.0.0.1", 1, "here")
+        members.append(Member(entry, 8, LayerRange(*endpoint.state.layers)))
+    return holes(model(), members)
+
+
+async def laid_out(h: Hall, count: int) -> list[ScriptedEndpoint]:
+    pool = [await h.endpoint(f"p{n}", unused, **EMPTY) for n in range(count)]
+    await h.until(lambda: all(e.state.layers is not None for e in pool))
+    await h.until(lambda: not missing(pool))
+    return pool
+
+
+class TestOrders:
+    async def test_empty_endpoints_get_a_whole_copy(self) -> None:
+        async with hall(ROUTES) as h:
+            pool = await laid_out(h, 4)
+            assert [len(endpoint.orders) for endpoint in pool] == [1, 1, 1, 1]
+
+    async def test_a_lost_endpoint_is_replaced(self) -> None:
+        async with hall(ROUTES) as h:
+            pool = await laid_out(h, 4)
+            lost = pool.pop(1)
+            lost.stop()
+            h.enter(lost, "pool", draining=True, accelerator="small")
+            await h.until(lambda: not missing(pool))
+
+    async def test_orders_name_the_count_of_orders_before(self) -> None:
+        """An order that an endpoint carries out late, after a newer one, names
+        a count that has passed, so the endpoint refuses it."""
+        async with hall(ROUTES) as h:
+            pool = await laid_out(h, 4)
+            for endpoint in pool:
+                assert endpoint.orders[0].orders == 0
+                assert endpoint.orders[0].fence == h.routers[0].lease.fence
--- /dev/null
+++ b/tests/router/test_store.py
@@ -0,0 +1,149 @@
+"""Copies of the store's tables: lost answers, lost history, outages."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from hemlockhall_router.process.lease import Lease
+from hemlockhall_router.process.store import Table
+from hemlockhall_standins.router.dialect import RouteRow, new_store
+from hemlockhall_standins.router.endpoint import Arrival
+from hemlockhall_standins.router.hall import hall
+
+pytestmark = pytest.mark.anyio
+
+ROUTES = [RouteRow("/read/", "idempotent", "desk")]
+
+
+async def answer(arrival: Arrival) -> None:
+    await arrival.answer(200, arrival.endpoint.name.encode())
+
+
+class TestConfiguration:
+    async def test_a_change_is_in_force_and_never_reverts(self) -> None:
+        async with hall(ROUTES) as h:
+            await h.endpoint("d1", answer)
+            h.routes = [RouteRow("/new/", "idempotent", "desk")]
+            h.configure()
+            await h.until(lambda: h.routers[0].routing.version == 2)
+            assert (await h.ask("/new/x")).head.status == 200
+            assert (await h.ask("/read/x")).head.status == 404
+            h.version = 0
+            h.routes = ROUTES
+            h.configure()
+            await anyio.sleep(0.5)
+            assert h.routers[0].routing.version == 2
+
+    async def test_a_change_while_the_history_is_lost_arrives(self) -> None:
+        """The feed shows nothing while a change is made, and then says that
+        its history is gone: the table is read anew."""
+        async with hall(ROUTES) as h:
+            h.store.mute = True
+            h.configure()
+            h.store.forget()
+            h.store.mute = False
+            await h.until(lambda: h.routers[0].routing.version == 2)
+
+    async def test_a_host_that_the_store_turns_away_learns_from_another(self) -> None:
+        """One of two hosts gets no answer from the store. The configuration
+        with a withdrawn route must reach it through the other."""
+        async with hall(ROUTES) as h:
+            await h.endpoint("d1", answer)
+            address, cut = new_store()
+            cut.down = True
+            second = await h.add_router(address=address)
+            assert second.routing.version == 1
+            h.routes = [RouteRow("/new/", "idempotent", "desk")]
+            h.configure()
+            await h.until(lambda: second.routing.version == 2)
+            await h.until(lambda: "d1" in second.directory.held)
+            assert (await h.ask("/read/x", router=1)).head.status == 404
+            assert (await h.ask("/new/x", router=1)).body == b"d1"
+            h.store.remove(Table.ENDPOINTS, "d1")
+            await h.until(lambda: not h.routers[0].directory.usable("desk"))
+
+
+class TestEndpoints:
+    async def test_a_draining_endpoint_gets_no_new_requests(self) -> None:
+        async with hall(ROUTES) as h:
+            leaving = await h.endpoint("d1", answer)
+            await h.endpoint("d2", answer)
+            h.enter(leaving, "desk", draining=True)
+            held = h.routers[0].directory.held
+            await h.until(lambda: held["d1"].endpoint.draining)
+            for number in range(5):
+                assert (await h.ask("/read/x", request_id=f"r{number}")).body == b"d2"
+            assert not leaving.arrivals
+
+    async def test_a_removed_endpoint_gets_no_new_requests(self) -> None:
+        async with hall(ROUTES) as h:
+            await h.endpoint("d1", answer)
+            h.store.remove(Table.ENDPOINTS, "d1")
+            await h.until(lambda: "d1" not in h.routers[0].directory.held)
+            assert (await h.ask("/read/x")).head.status == 503
+
+    async def test_entries_lost_in_an_outage_may_come_back(self) -> None:
+        """Endpoints could not reach the store while it was down, so it drops
+        their entries. They live: dropping them all would refuse everything."""
+        async with hall(ROUTES) as h:
+            await h.endpoint("d1", answer)
+            h.store.down = True
+            await anyio.sleep(0.5)
+            h.store.remove(Table.ENDPOINTS, "d1")
+            h.store.down = False
+            held = h.routers[0].directory.held
+            await h.until(lambda: held["d1"].vanished_deadline is not None)
+            assert (await h.ask("/read/x")).body == b"d1"
+
+    async def test_entries_that_stay_away_after_an_outage_are_gone(self) -> None:
+        async with hall(ROUTES) as h:
+            await h.endpoint("d1", answer)
+            h.store.down = True
+            await anyio.sleep(0.5)
+            h.store.remove(Table.ENDPOINTS, "d1")
+            h.store.down = False
+            await h.until(lambda: "d1" not in h.routers[0].directory.held)
+
+    async def test_an_unreadable_entry_names_no_endpoint(self) -> None:
+        async with hall(ROUTES) as h:
+            await h.endpoint("d1", answer)
+            h.store.put(Table.ENDPOINTS, "d2", b"\xff\x00")
+            h.store.put(Table.ENDPOINTS, "d3", b'{"service": 5, "port": "x"}')
+            await anyio.sleep(0.4)
+            assert set(h.routers[0].directory.held) == {"d1"}
+
+
+class TestLease:
+    async def test_only_one_host_holds_it(self) -> None:
+        _, store = new_store()
+        first, second = Lease(store, "a", "1"), Lease(store, "b", "1")
+        await first.take()
+        await second.take()
+        assert first.held
+        assert not second.held
+
+    async def test_a_lost_answer_does_not_give_two_holders(self) -> None:
+        """The write that acquires the lease is done but not answered. The
+        host does not know that it holds it; it reads the row and sees its own
+        name, and nobody else acquired it meanwhile."""
+        _, store = new_store()
+        first, second = Lease(store, "a", "1"), Lease(store, "b", "1")
+        store.lose_writes = 1
+        await first.take()
+        assert not first.held
+        await second.take()
+        assert not second.held
+        await first.take()
+        assert first.held
+
+    async def test_a_released_lease_is_free_at_once_with_a_higher_fence(self) -> None:
+        _, store = new_store()
+        first, second = Lease(store, "a", "1"), Lease(store, "b", "1")
+        await first.take()
+        fence = first.fence
+        await first.release()
+        await second.take()
+        assert second.held
+        assert second.fence > fence
+        assert not first.held
--- /dev/null
+++ b/tests/router/test_stream.py
@@ -0,0 +1,208 @@
+"""Streams: whole events, in order, also when an endpoint fails."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+import pytest
+
+from hemlockhall_router.connection.error import BrokenError
+from hemlockhall_standins.router.dialect import RouteRow
+from hemlockhall_standins.router.endpoint import Arrival, event_text
+from hemlockhall_standins.router.hall import caller_text, hall
+
+pytestmark = pytest.mark.anyio
+
+ROUTES = [
+    RouteRow("/draft/", "stream", "pool", resumable=True),
+    RouteRow("/once/", "stream", "pool"),
+]
+EVENTS = 6
+WHOLE = b"".join(event_text(number) for number in range(1, EVENTS + 1))
+ALL = {"service": "pool", "layers": (0, 8), "accelerator": "big"}
+
+
+def first_event(arrival: Arrival) -> int:
+    return int(arrival.header("resume-after") or 0) + 1
+
+
+async def write(arrival: Arrival) -> None:
+    await arrival.begin()
+    for number in range(first_event(arrival), EVENTS + 1):
+        await arrival.event(number)
+    await arrival.end()
+
+
+class TestWholeStreams:
+    async def test_a_stream_arrives_as_sent_with_its_path(self) -> None:
+        async with hall(ROUTES) as h:
+            pool = await h.endpoint("p1", write, **ALL)
+            response = await h.ask("/draft/x", method="POST", body=b"prompt")
+            assert response.body == WHOLE
+            assert response.head.header(b"signature") == b"p1"
+            assert pool.arrivals[0].header("path") == "p1:0-8"
+
+    async def test_layers_of_two_endpoints_make_a_path(self) -> None:
+        async with hall(ROUTES) as h:
+            first = await h.endpoint("p1", write, **{**ALL, "layers": (0, 5)})
+            await h.endpoint("p2", write, **{**ALL, "layers": (3, 8)})
+            await h.until(lambda: h.routers[0].directory.held["p2"].endpoint.layers)
+            assert (await h.ask("/draft/x", method="POST")).body == WHOLE
+            path = first.arrivals[0].header("path") or ""
+            spans = [part.partition(":")[2].split("-") for part in path.split()]
+            reached = 0
+            for first_layer, end in spans:
+                assert int(first_layer) == reached
+                reached = int(end)
+            assert reached == 8
+
+    async def test_without_a_path_the_caller_learns_when_to_come_back(self) -> None:
+        async with hall(ROUTES) as h:
+            await h.endpoint("p1", write, **{**ALL, "layers": (0, 5)})
+            response = await h.ask("/draft/x", method="POST")
+            assert response.head.status == 503
+            assert response.head.header(b"retry-after") is not None
+
+
+class TestResuming:
+    async def test_a_stream_cut_inside_an_event_goes_on_elsewhere(self) -> None:
+        """The first endpoint resets after two and a half events. The caller
+        has two; the second endpoint is asked for what follows them, and the
+        half event never reaches the caller."""
+
+        async def cut(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await arrival.event(2)
+            await arrival.raw(event_text(3)[:7])
+            await anyio.sleep(0.05)
+            await arrival.reset()
+
+        async with hall(ROUTES) as h:
+            await h.endpoint("p1", cut, **ALL)
+            response_task: list[bytes] = []
+
+            async def ask() -> None:
+                response = await h.ask("/draft/x", method="POST")
+                assert response.head.header(b"signature") == b"p1"
+                response_task.append(response.body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await h.until(lambda: h.routers[0].directory.held["p1"].in_flight)
+                other = await h.endpoint("p2", write, **ALL)
+            assert response_task == [WHOLE]
+            assert other.arrivals[0].header("resume-after") == "2"
+
+    async def test_events_that_the_caller_has_are_left_out(self) -> None:
+        """The second endpoint starts from the beginning although it was asked
+        to go on; repeated events would reach the caller twice."""
+
+        async def cut(arrival: Arrival) -> None:
+            await arrival.begin()
+            for number in (1, 2, 3):
+                await arrival.event(number)
+            await anyio.sleep(0.05)
+            await arrival.reset()
+
+        async def whole(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.raw(WHOLE)
+            await arrival.end()
+
+        scripts = iter((cut, whole))
+
+        async def script(arrival: Arrival) -> None:
+            await next(scripts)(arrival)
+
+        async with hall(ROUTES) as h:
+            await h.endpoint("p1", script, **ALL)
+            assert (await h.ask("/draft/x", method="POST")).body == WHOLE
+
+    async def test_a_stream_that_may_not_be_resumed_does_not_look_complete(
+        self,
+    ) -> None:
+        async def cut(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await anyio.sleep(0.05)
+            await arrival.reset()
+
+        async with hall(ROUTES) as h:
+            pool = await h.endpoint("p1", cut, **ALL)
+            with pytest.raises(BrokenError):
+                await h.ask("/once/x", method="POST")
+            assert len(pool.arrivals) == 1
+
+    async def test_a_rejected_stream_runs_elsewhere(self) -> None:
+        async def reject(arrival: Arrival) -> None:
+            port = arrival.endpoint.port
+            await arrival.refuse(503, f"at-fault: 127.0.0.1:{port}\r\n")
+
+        async with hall(ROUTES) as h:
+            await h.endpoint("p1", reject, **ALL)
+            await h.endpoint("p2", write, **ALL)
+            for number in range(4):
+                key = f"s{number}"
+                response = await h.ask("/once/x", method="POST", request_id=key)
+                assert response.body == WHOLE
+
+    async def test_a_silent_stream_goes_on_elsewhere(self) -> None:
+        """The endpoint stops in the middle without closing, as one does whose
+        successor on the path is dead."""
+
+        async def stall(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await arrival.reader.watch()
+            arrival.ended = True
+
+        scripts = iter((stall, write))
+
+        async def script(arrival: Arrival) -> None:
+            await next(scripts)(arrival)
+
+        async with hall(ROUTES) as h:
+            pool = await h.endpoint("p1", script, **ALL)
+            assert (await h.ask("/draft/x", method="POST")).body == WHOLE
+            assert pool.arrivals[1].header("resume-after") == "1"
+
+
+class TestLeaving:
+    async def test_a_stream_outlives_sigterm(self) -> None:
+        """A stream is under way when the host is told to end: the balancer is
+        told at once, the stream is finished, and its connection closed."""
+        go_on = anyio.Event()
+
+        async def slow(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await go_on.wait()
+            for number in range(2, EVENTS + 1):
+                await arrival.event(number)
+            await arrival.end()
+
+        routes = [RouteRow("/draft/", "stream", "pool", pause_s=60.0)]
+        async with hall(routes) as h:
+            await h.endpoint("p1", slow, **ALL)
+            conn = await h.connect()
+            deadline = time.monotonic() + 20
+            await conn.send(caller_text("/draft/x", "POST"), deadline)
+            await conn.head(deadline)
+            h.group.start_soon(h.routers[0].leave)
+            await h.until(lambda: not h.routers[0].ready)
+            go_on.set()
+            body = b""
+            while (part := await conn.chunk(deadline)) is not None:
+                body += part
+            assert body == WHOLE
+
+    async def test_answers_after_sigterm_end_their_connections(self) -> None:
+        async with hall(ROUTES) as h:
+            await h.endpoint("p1", write, **ALL)
+            h.group.start_soon(h.routers[0].leave)
+            await h.until(lambda: not h.routers[0].ready)
+            response = await h.ask("/draft/x", method="POST")
+            assert response.body == WHOLE
+            assert response.head.header(b"connection") == b"close"
