Move streams off endpoints that do not answer

Cause: a path on which an endpoint died was noticed only by the engine's own stall of 3 s. A stream that is silent now puts its endpoints in doubt; they are asked for their state, and those that do not answer lose their streams, which go on elsewhere. Leaving endpoints lose theirs after 1.4 s.

--- a/packages/router/src/hemlockhall_router/connection/link.py
+++ b/packages/router/src/hemlockhall_router/connection/link.py
@@ -45,7 +45,8 @@
 
     ``versions`` are of its copies of the store's tables, ``loads`` its
     requests at each endpoint, ``fence`` the planning lease that it holds or 0,
-    ``peers`` the addresses of the hosts that it hears.
+    ``peers`` the addresses of the hosts that it hears, ``down`` the endpoints
+    that do not answer it.
     """
 
     name: str
@@ -56,6 +57,7 @@
     fence: int
     leaving: bool
     peers: list[str]
+    down: list[str]
 
 
 class Ack(msgspec.Struct, frozen=True, tag="ack"):
--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -114,7 +114,8 @@
         endpoints = []
         for held in usable:
             filling = held.load / room(held, model)
-            penalties[held.endpoint.id] = 1 + LOAD_WEIGHT * filling * filling
+            factor = 1 + LOAD_WEIGHT * filling * filling
+            penalties[held.endpoint.id] = factor * held.pace
             endpoints.append(held.endpoint)
         return find_path(
             model, endpoints, place, lambda endpoint: penalties[endpoint.id]
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from hemlockhall_router.process.store import Row
+    from hemlockhall_router.request.running import Running
     from hemlockhall_router.version.endpoint import Endpoint, Report
 
 # Seconds for which entries that lapsed while the store was away may still
@@ -21,8 +22,14 @@
 # row: long enough for a restart of a process, short enough to try again soon.
 AVOID_S = 0.5
 AVOID_MAX_S = 4.0
+# Seconds after which the streams on a leaving endpoint go on elsewhere. Most
+# have ended by then; the endpoint serves for 2 s at least, and a stream that it
+# breaks off is noticed later than one that is moved.
+MOVE_S = 1.4
 # Weight of the newest value in moving averages.
 SMOOTHING = 0.2
+# Change of an endpoint's pace that is acted on.
+PACE_STEP = 0.3
 # Latency assumed of an endpoint that has not answered yet, in seconds.
 UNKNOWN_S = 0.1
 
@@ -43,7 +50,14 @@
     latency_s: float = UNKNOWN_S
     down: bool = False
     checked_at: float = 0.0
-    ids: set[bytes] = field(default_factory=set)
+    pace: float = 1.0
+    leave_deadline: float | None = None
+    running: set[Running] = field(default_factory=set)
+
+    @property
+    def suspect(self) -> bool:
+        """Whether it should be asked again without a new reason."""
+        return self.down or self.pace > 1.0 + PACE_STEP
 
     @property
     def load(self) -> int:
@@ -81,7 +95,9 @@
         self._outage = outage
         self._changed = changed
         self.held: dict[str, Held] = {}
+        self.running: set[Running] = set()
         self.version = 0
+        self._departed: list[Held] = []
 
     def take(self, rows: list[Row]) -> None:
         """Act on changed rows of the endpoint table."""
@@ -114,6 +130,9 @@
             held.failures = 0
             held.avoid_deadline = 0.0
             held.down = False
+            held.pace = 1.0
+        if endpoint.draining and held.leave_deadline is None:
+            held.leave_deadline = time.monotonic() + MOVE_S
         if old.draining != endpoint.draining or old.layers != endpoint.layers:
             logger.info(
                 "endpoint changed",
@@ -137,7 +156,12 @@
         self._drop(row.key, "removed" if row.deleted else "entry cannot be read")
 
     def _drop(self, key: str, cause: str) -> None:
-        del self.held[key]
+        held = self.held.pop(key)
+        if held.running:
+            # Some endpoints leave without a word and serve on as long as the
+            # others do.
+            held.leave_deadline = held.leave_deadline or time.monotonic() + MOVE_S
+            self._departed.append(held)
         logger.info("endpoint gone", endpoint=key, cause=cause)
 
     def expire(self) -> None:
@@ -148,6 +172,10 @@
             if deadline is not None and now >= deadline:
                 self._drop(key, "did not come back after the outage")
                 self._bump()
+        for held in (*self.held.values(), *self._departed):
+            if held.leave_deadline is not None and now >= held.leave_deadline:
+                _move(held, "endpoint leaves")
+        self._departed = [held for held in self._departed if held.running]
 
     def _bump(self) -> None:
         self.version += 1
@@ -198,8 +226,14 @@
         if held is None or held.down == down:
             return
         held.down = down
-        logger.warning("endpoint down" if down else "endpoint back", endpoint=key)
+        logger.warning(
+            "endpoint down" if down else "endpoint back",
+            endpoint=key,
+            streams=len(held.running),
+        )
         self._bump()
+        if down:
+            _move(held, "endpoint down")
 
     def reported(self, key: str, report: Report) -> None:
         """Take what an endpoint says of itself, if it is the same run."""
@@ -207,12 +241,17 @@
         if held is None:
             return
         old = held.endpoint
+        if abs(held.pace - report.pace) > PACE_STEP:
+            logger.info("endpoint pace", endpoint=key, pace=report.pace)
+            held.pace = max(1.0, report.pace)
+            self._bump()
         if report.born and old.born and report.born != old.born:
             # A restarted endpoint holds nothing of before.
             held.endpoint = replace(
                 old, born=report.born, orders=report.orders, layers=report.layers
             )
             self._bump()
+            _move(held, "endpoint restarted")
             return
         if old.layers != report.layers or old.orders != report.orders:
             held.endpoint = replace(old, orders=report.orders, layers=report.layers)
@@ -224,6 +263,11 @@
             held.elsewhere = counts.get(key, 0)
 
 
+def _move(held: Held, cause: str) -> None:
+    for running in list(held.running):
+        running.move(cause)
+
+
 def _span(endpoint: Endpoint) -> str:
     layers = endpoint.layers
     return f"{layers.first}-{layers.end}" if layers else ""
--- a/packages/router/src/hemlockhall_router/process/hosts.py
+++ b/packages/router/src/hemlockhall_router/process/hosts.py
@@ -96,6 +96,8 @@
         Returns this host's ``Status``; called with the live peers' addresses.
     watches : list of Watch
         The copies of tables that are passed on.
+    suspect : callable
+        Called with the endpoints that another host finds down.
     """
 
     def __init__(
@@ -106,12 +108,14 @@
         store: Store,
         describe: Callable[[list[str]], Status],
         watches: list[Watch],
+        suspect: Callable[[list[str]], None],
     ) -> None:
         self._name = name
         self._address = address
         self._seeds = seeds
         self._store = store
         self._describe = describe
+        self._suspect = suspect
         self._watches = {watch.table.value: watch for watch in watches}
         self.peers: dict[str, Peer] = {}
         self._group: TaskGroup | None = None
@@ -274,6 +278,8 @@
 
     def _heard(self, status: Status) -> None:
         self._meet(status.address)
+        if status.down:
+            self._suspect(status.down)
         for address in status.peers:
             self._meet(address)
         peer = self.peers.get(status.address)
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -42,6 +42,7 @@
 LOAD_ALLOWANCE_S = 3.0
 # Seconds before an order without an answer is looked into again.
 UNCERTAIN_S = 1.5
+# Seconds between two looks at an order that is carried out.
 REPORT_S = 0.4
 
 
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from loguru import logger
 
 from hemlockhall_router.connection.client import ClientConnection
 from hemlockhall_router.connection.error import WireError
@@ -19,13 +20,21 @@
     from hemlockhall_router.version.endpoint import Endpoint, Report
 
 # Seconds in which an endpoint answers for its state unless it is dead or cut
-# off: the delay inside a region is a few milliseconds.
-ANSWER_S = 0.3
+# off: the delay inside a region is about a millisecond, and a stream on a dead
+# endpoint has to go on elsewhere within its longest pause of 200 ms.
+ANSWER_S = 0.08
+# Seconds allowed where nobody waits: after an order, or for one already down.
+PATIENT_S = 0.4
 # Seconds between two questions to one endpoint; each is priced.
 AGAIN_S = 0.5
-# Seconds between two questions to an endpoint that does not answer.
-DOWN_AGAIN_S = 1.0
-POLL_S = 0.1
+# Seconds between two questions to an endpoint that is down or slow.
+SUSPECT_AGAIN_S = 1.0
+# Seconds between two looks at the streams under way.
+POLL_S = 0.025
+# Questions of one round from which it counts how many failed. If most do, it
+# is this host that is slow or cut off, and taking all endpoints out would turn
+# its own trouble into an outage.
+ROUND_MIN = 4
 
 
 async def call_endpoint(endpoint: Endpoint, call: Call, deadline: float) -> Response:
@@ -48,7 +57,6 @@
         self._dialect = dialect
         self._directory = directory
         self._doubted: set[str] = set()
-        self._wake = anyio.Event()
 
     def doubt(self, ids: list[str]) -> None:
         """Ask these endpoints soon, unless they were asked just now."""
@@ -59,46 +67,65 @@
                 continue
             held.checked_at = now
             self._doubted.add(key)
-        if self._doubted:
-            self._wake.set()
 
     async def run(self) -> None:
-        """Ask until cancelled."""
+        """Look for silent streams, and ask, until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                with anyio.move_on_after(POLL_S):
-                    await self._wake.wait()
-                self._wake = anyio.Event()
-                for key in self._due():
-                    group.start_soon(self._ask, key)
+                await anyio.sleep(POLL_S)
+                self._find_silent()
+                due = self._due()
+                if due:
+                    group.start_soon(self._round, due)
+
+    def _find_silent(self) -> None:
+        now = time.monotonic()
+        for running in self._directory.running:
+            if running.silent(now):
+                running.doubted = True
+                self.doubt(running.ids)
 
     def _due(self) -> list[str]:
         due = list(self._doubted)
         self._doubted.clear()
         now = time.monotonic()
         for key, held in self._directory.held.items():
-            if held.down and now - held.checked_at >= DOWN_AGAIN_S:
+            if held.suspect and now - held.checked_at >= SUSPECT_AGAIN_S:
                 held.checked_at = now
                 due.append(key)
         return due
 
-    async def _ask(self, key: str) -> None:
+    async def _round(self, ids: list[str]) -> None:
+        failed: list[str] = []
+        async with anyio.create_task_group() as group:
+            for key in ids:
+                group.start_soon(self._ask, key, failed)
+        if len(ids) >= ROUND_MIN and len(failed) > len(ids) / 2:
+            logger.warning("most questions failed", asked=len(ids), failed=len(failed))
+            return
+        for key in failed:
+            self._directory.set_down(key, down=True)
+
+    async def _ask(self, key: str, failed: list[str]) -> None:
         held = self._directory.held.get(key)
         if held is None:
             return
+        patience_s = PATIENT_S if held.down else ANSWER_S
         try:
-            report = await self.report(held.endpoint)
+            report = await self.report(held.endpoint, patience_s)
         except WireError:
-            self._directory.set_down(key, down=True)
+            failed.append(key)
             return
-        except DecodeError:
+        except DecodeError as exc:
+            # It answers; a plain service has no such call.
+            logger.debug("no report", endpoint=key, cause=str(exc))
             return
         self._directory.set_down(key, down=False)
         self._directory.reported(key, report)
 
-    async def report(self, endpoint: Endpoint) -> Report:
+    async def report(self, endpoint: Endpoint, patience_s: float = PATIENT_S) -> Report:
         """Return an endpoint's state; raise ``WireError`` or ``DecodeError``."""
-        deadline = time.monotonic() + ANSWER_S
+        deadline = time.monotonic() + patience_s
         response = await call_endpoint(endpoint, self._dialect.report_call(), deadline)
         if response.head.status != 200:
             raise DecodeError(f"status {response.head.status}")
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -87,6 +87,7 @@
             self._store,
             self._describe,
             [self._routes_watch, self._endpoints_watch],
+            self._suspect,
         )
         retry = settings.retry
         self._budget = Budget(
@@ -115,6 +116,7 @@
             lambda: self.routing,
         )
         self._group: TaskGroup | None = None
+        self._accepting: anyio.CancelScope | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM, then until the requests have ended."""
@@ -127,7 +129,7 @@
             self._group = group
             group.start_soon(self._signals)
             group.start_soon(self._listen, listen.ready, self._serve_ready)
-            group.start_soon(self._listen, listen.callers, self.front.serve)
+            group.start_soon(self._listen_for_callers)
             group.start_soon(self._routes_watch.run)
             group.start_soon(self._endpoints_watch.run)
             group.start_soon(self._hosts.run)
@@ -149,6 +151,15 @@
         )
         await listener.serve(serve)
 
+    async def _listen_for_callers(self) -> None:
+        with anyio.CancelScope() as self._accepting:
+            await self._listen(self._settings.listen.callers, self._serve_caller)
+
+    async def _serve_caller(self, stream: SocketStream) -> None:
+        # Connections outlive the listener, which ends before they do.
+        assert self._group is not None
+        self._group.start_soon(self.front.serve, stream)
+
     async def _serve_ready(self, stream: SocketStream) -> None:
         reader = CallerReader(stream, CallerLimits())
         try:
@@ -206,9 +217,12 @@
 
     def _describe(self, peers: list[str]) -> Status:
         loads = {}
+        down = []
         for key, held in self.directory.held.items():
             if held.in_flight:
                 loads[key] = held.in_flight
+            if held.down:
+                down.append(key)
         watches = (self._routes_watch, self._endpoints_watch)
         return Status(
             name=self._settings.host.name,
@@ -219,8 +233,17 @@
             fence=self.lease.fence if self.lease.held else 0,
             leaving=self.front.leaving,
             peers=peers,
+            down=down,
         )
 
+    def _suspect(self, ids: list[str]) -> None:
+        known = []
+        for key in ids:
+            held = self.directory.held.get(key)
+            if held is not None and not held.down:
+                known.append(key)
+        self._prober.doubt(known)
+
     async def _upkeep(self) -> None:
         while True:
             await anyio.sleep(UPKEEP_S)
@@ -265,6 +288,9 @@
         self._planner.stopped = True
         await self.lease.release()
         await anyio.sleep(max(0.0, began + NOTICE_S - time.monotonic()))
+        # A request that is taken later may not end before this process does.
+        if self._accepting is not None:
+            self._accepting.cancel()
         while self.front.open_requests and time.monotonic() < end:
             self.front.close_idle()
             await anyio.sleep(0.05)
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -28,7 +28,7 @@
     BROKEN = "broken"
     FAILED = "failed"
     SILENT = "silent"
-    RESUMED = "resumed"
+    MOVED = "moved"
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -12,6 +12,7 @@
 from hemlockhall_router.request.events import Splitter
 from hemlockhall_router.request.plain import ABSENT_AGAIN_S, CONNECT_S, FULL_AGAIN_S
 from hemlockhall_router.request.reason import Refusal, Retry
+from hemlockhall_router.request.running import MovedError, Running
 from hemlockhall_router.request.work import Occupied, Tools, Work, outgoing
 
 if TYPE_CHECKING:
@@ -21,14 +22,17 @@
     from hemlockhall_router.request.reply import Reply
     from hemlockhall_router.version.path import Path
 
-# Part of the objective after which a stream without a first event goes to
-# another path; what is left is enough to read the prompt there in time.
-FIRST_PART = 5.0
-# Part of the longest pause after which a stream goes on elsewhere; a resumed
-# stream's first event must come within the rest.
-PAUSE_PART = 5.0
-# Each silence doubles the patience, so that slow endpoints are not left for
-# ever new ones.
+# Part of the objective without a first event, and of the longest pause without
+# another one, after which the endpoints of the path are asked whether they
+# live. What is left suffices to ask and to read the prompt elsewhere in time.
+QUIET_FIRST_PART = 0.3
+QUIET_PAUSE_PART = 0.35
+# Objectives and pauses after which a stream goes on elsewhere although all of
+# its endpoints answer. Slow endpoints are not left sooner: what they have read
+# would be read again, which makes all of them slower.
+FIRST_PARTS = 5.0
+PAUSE_PARTS = 5.0
+# Each silence doubles the patience.
 PATIENCE_GROWTH = 2.0
 # Seconds assumed where the route states no objective or pause.
 UNSTATED_S = 2.0
@@ -130,9 +134,12 @@
             self._avoid.add(path.first.id)
             raise _Again(Retry.NOT_SENT, str(exc), ran=False) from exc
         ids = [part.endpoint.id for part in path.parts]
+        running = Running(ids, self._quiet_first_s())
         try:
-            with Occupied(tools.directory, ids):
-                head = await self._relay(conn, path)
+            with Occupied(tools.directory, ids, running):
+                head = await self._relay(conn, path, running)
+        except MovedError as exc:
+            raise _Again(Retry.MOVED, str(exc), ran=True) from exc
         except WireError as exc:
             tools.prober.doubt(ids)
             self._growth *= PATIENCE_GROWTH
@@ -146,21 +153,23 @@
                 await conn.close()
         await tools.pool.give(address, conn, head)
 
-    async def _relay(self, conn: ClientConnection, path: Path) -> ResponseHead:
+    async def _relay(
+        self, conn: ClientConnection, path: Path, running: Running
+    ) -> ResponseHead:
         work, tools = self._work, self._tools
         text = outgoing(work, tools.dialect, path.first, path, self._last_id)
         started = time.monotonic()
         await conn.send(text, work.deadline)
-        head = await conn.head(self._first_deadline())
+        head = await running.wait(conn.head, self._first_deadline())
         echoed = head.header(tools.dialect.headers.request_id)
         while echoed is not None and echoed != work.id:
             # A late answer to an earlier request of this connection.
             while await conn.chunk(self._first_deadline()) is not None:
                 continue
-            head = await conn.head(self._first_deadline())
+            head = await running.wait(conn.head, self._first_deadline())
             echoed = head.header(tools.dialect.headers.request_id)
         await self._judge(conn, head, path)
-        await self._events(conn, head, path, started)
+        await self._events(conn, head, path, running, started)
         return head
 
     async def _judge(
@@ -192,13 +201,18 @@
         self._avoid.add(path.first.id)
 
     async def _events(
-        self, conn: ClientConnection, head: ResponseHead, path: Path, started: float
+        self,
+        conn: ClientConnection,
+        head: ResponseHead,
+        path: Path,
+        running: Running,
+        started: float,
     ) -> None:
         splitter = Splitter()
         deadline = self._first_deadline()
         first = True
         while True:
-            data = await conn.chunk(deadline)
+            data = await running.wait(conn.chunk, deadline)
             if data is None:
                 break
             events = self._fresh(splitter.feed(data))
@@ -214,6 +228,7 @@
             await self._reply.chunk(b"".join(event.text for event in events))
             self._last_id = events[-1].id or self._last_id
             deadline = self._pause_deadline()
+            running.heard(self._quiet_pause_s())
         if splitter.partial or not self._reply.started:
             raise _Again(Retry.BROKEN, "ended inside an event", ran=True)
         await self._reply.end()
@@ -230,18 +245,28 @@
             fresh.append(event)
         return fresh
 
+    def _quiet_first_s(self) -> float:
+        if not self._work.route.repeatable:
+            return float("inf")
+        return (self._work.route.objective_s or UNSTATED_S) * QUIET_FIRST_PART
+
+    def _quiet_pause_s(self) -> float:
+        if not self._work.route.repeatable:
+            return float("inf")
+        return (self._work.route.pause_s or UNSTATED_S) * QUIET_PAUSE_PART
+
     def _first_deadline(self) -> float:
         if not self._work.route.repeatable:
             return self._work.deadline
         objective = self._work.route.objective_s or UNSTATED_S
-        patience = objective * FIRST_PART * self._growth
+        patience = objective * FIRST_PARTS * self._growth
         return min(self._work.deadline, time.monotonic() + patience)
 
     def _pause_deadline(self) -> float:
         if not self._work.route.repeatable:
             return self._work.deadline
         pause = self._work.route.pause_s or UNSTATED_S
-        patience = pause * PAUSE_PART * self._growth
+        patience = pause * PAUSE_PARTS * self._growth
         return min(self._work.deadline, time.monotonic() + patience)
 
     async def _give_up(self) -> None:
--- a/packages/router/src/hemlockhall_router/request/work.py
+++ b/packages/router/src/hemlockhall_router/request/work.py
@@ -17,6 +17,7 @@
     from hemlockhall_router.process.directory import Directory, Held
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.prober import Prober
+    from hemlockhall_router.request.running import Running
     from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
     from hemlockhall_router.version.routing import Customer, Route, Service
@@ -100,9 +101,16 @@
 
 
 class Occupied:
-    """Counts a request at the endpoints that it uses, while open."""
+    """Counts a request at the endpoints that it uses, while open.
 
-    def __init__(self, directory: Directory, ids: list[str]) -> None:
+    A stream is also entered there, so that it is moved if one of them fails.
+    """
+
+    def __init__(
+        self, directory: Directory, ids: list[str], running: Running | None = None
+    ) -> None:
+        self._directory = directory
+        self._running = running
         self._held: list[Held] = []
         for key in ids:
             held = directory.held.get(key)
@@ -112,10 +120,18 @@
     def __enter__(self) -> None:
         for held in self._held:
             held.in_flight += 1
+            if self._running is not None:
+                held.running.add(self._running)
+        if self._running is not None:
+            self._directory.running.add(self._running)
 
     def __exit__(self, *_: object) -> None:
         for held in self._held:
             held.in_flight -= 1
+            if self._running is not None:
+                held.running.discard(self._running)
+        if self._running is not None:
+            self._directory.running.discard(self._running)
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/version/endpoint.py
+++ b/packages/router/src/hemlockhall_router/version/endpoint.py
@@ -62,6 +62,7 @@
     memory_total: int
     layers: LayerRange | None
     born: int
+    pace: float = 1.0
     stalled: tuple[str, ...] = ()
 
 
--- a/packages/standins/src/hemlockhall_standins/router/dialect.py
+++ b/packages/standins/src/hemlockhall_standins/router/dialect.py
@@ -147,8 +147,8 @@
     ready_path = b"/ready"
 
     def store(self, address: str) -> Store:
-        """Return the store that ``new_store`` made."""
-        return STORES[address]
+        """Return the store that ``new_store`` made, or an empty one."""
+        return STORES.setdefault(address, MemoryStore())
 
     def routing(self, key: str, value: bytes) -> Routing | None:
         """Decode a ``RoutingRow``."""
