Fill holes in the layout by the nearest holders

Each hole was larger than its two neighbours could take, so the plan shared out the layers of all three data centres anew within two seconds; no path was left, and callers were refused again and again.

Ruled out: late orders (precondition refused all three), the lease (one holder all the while).

Change: holders near a hole move towards it, each a little; a group is rebuilt only while another is whole. Requests wait 1.3 s for a path that was just lost, later ones are refused at once.

--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -32,6 +32,8 @@
         self._home = home
         self._paths: dict[str, list[Path]] = {}
         self._made: dict[str, tuple[int, int, float]] = {}
+        self._seen_at: dict[str, float] = {}
+        self._began = time.monotonic()
 
     def endpoint(self, service: str, tried: set[str]) -> Held | None:
         """Return the endpoint where a plain request waits least."""
@@ -65,8 +67,14 @@
                 best, least = path, cost
         if best is None and tried:
             best = self._around(service, model, tried)
+        if best is not None:
+            self._seen_at[service.name] = time.monotonic()
         return best
 
+    def without_path_s(self, service: str) -> float:
+        """Return for how many seconds there has been no path at all."""
+        return time.monotonic() - self._seen_at.get(service, self._began)
+
     def _cost(self, path: Path, model: Model, slots: int) -> float:
         held = self._directory.held
         filling = 0.0
--- a/packages/router/src/hemlockhall_router/process/front.py
+++ b/packages/router/src/hemlockhall_router/process/front.py
@@ -24,11 +24,18 @@
     from anyio.abc import SocketStream
 
     from hemlockhall_router.connection.message import RequestHead
+    from hemlockhall_router.process.dialect import Tokens
     from hemlockhall_router.request.work import Tools
     from hemlockhall_router.version.routing import Customer, Route, Routing
 
 # Seconds a caller waits that states no deadline.
 DEADLINE_S = 30.0
+# Seconds an answer of a plain service takes at most, but for rare ones.
+PLAIN_S = 0.5
+# Seconds between two tokens on a usual path with some load.
+TOKEN_S = 0.015
+# Retry-After while this host is about to end: another one takes the request.
+LEAVE_AGAIN_S = 0.1
 # Retry-After while no configuration is known yet, in seconds.
 START_AGAIN_S = 1.0
 
@@ -58,9 +65,23 @@
         self._tools = tools
         self._routing = routing
         self._idle: set[anyio.CancelScope] = set()
-        self.leaving = False
+        self._notice = self._end = float("inf")
         self.open_requests = 0
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this host is about to end."""
+        return self._end != float("inf")
+
+    def leave(self, notice: float, end: float) -> None:
+        """Take only requests that will be answered before ``end``.
+
+        Until ``notice`` all are taken: callers cannot know yet that this host
+        ends, and nearly all answers fit.
+        """
+        self._notice = notice
+        self._end = end
+
     def close_idle(self) -> None:
         """End the connections that carry no request."""
         for scope in list(self._idle):
@@ -160,7 +181,9 @@
                 reason=exc.refusal.value,
                 version=self._version(),
             )
-            again_s = START_AGAIN_S if exc.status == 503 else None
+            again_s = None
+            if exc.status == 503:
+                again_s = LEAVE_AGAIN_S if self.leaving else START_AGAIN_S
             await reply.own(exc.status, exc.text, again_s)
             return
         self._tools.budget.request(work.service.name)
@@ -181,6 +204,10 @@
         if route is None:
             raise _Refused(Refusal.NO_ROUTE, 404, "no route has this host and path")
         customer = self._customer(routing, route, head)
+        tokens = self._tools.dialect.tokens(head)
+        now = time.monotonic()
+        if now > self._notice and self._end - now < _usual_s(route, tokens):
+            raise _Refused(Refusal.LEAVING, 503, "this host is about to end")
         name = _target(route)
         service = routing.services.get(name) or Service(name, "/", 0)
         return Work(
@@ -191,7 +218,7 @@
             customer=customer,
             id=self._id(head),
             deadline=min(deadline, arrived + route.timeout_s),
-            tokens=self._tools.dialect.tokens(head),
+            tokens=tokens,
         )
 
     def _customer(
@@ -219,6 +246,13 @@
         return routing.version if routing else 0
 
 
+def _usual_s(route: Route, tokens: Tokens | None) -> float:
+    """Return how long an answer usually takes, in seconds."""
+    if route.kind is not Kind.STREAM:
+        return min(route.timeout_s, PLAIN_S)
+    return route.objective_s + (tokens.answer if tokens else 0) * TOKEN_S
+
+
 def _target(route: Route) -> str:
     if len(route.targets) == 1:
         return route.targets[0].service
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -44,6 +44,8 @@
 UNCERTAIN_S = 1.5
 # Seconds between two looks at an order that is carried out.
 REPORT_S = 0.4
+# Seconds before an endpoint that refused an order, or is busy, is asked again.
+REST_S = 0.5
 
 
 @dataclass(slots=True)
@@ -79,6 +81,7 @@
         self._known: dict[str, set[tuple[str, int]]] = {}
         self._settle_deadlines: dict[str, float] = {}
         self._next_take = 0.0
+        self._rest: dict[str, float] = {}
         self.stopped = False
 
     async def run(self) -> None:
@@ -127,7 +130,7 @@
         for key, layers in plan(model, members, held).items():
             endpoint = by_id[key]
             waiting = self._pending.get(endpoint.incarnation)
-            if waiting is not None:
+            if waiting is not None or now < self._rest.get(key, 0.0):
                 continue
             share = layers.size / model.layers
             load_s = model.load_s * share * len(members) / max(1, model.loads_at_once)
@@ -203,6 +206,7 @@
     def _end(self, endpoint: Endpoint, order: Pending, cause: str) -> None:
         if self._pending.get(endpoint.incarnation) is order:
             del self._pending[endpoint.incarnation]
+        self._rest[endpoint.id] = time.monotonic() + REST_S
         self._note(endpoint, order, cause)
 
     def _note(self, endpoint: Endpoint, order: Pending, outcome: str) -> None:
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -18,6 +18,7 @@
     DEADLINE = "deadline"
     UNCERTAIN = "uncertain"
     TIMEOUT = "timeout"
+    LEAVING = "leaving"
 
 
 class Retry(Enum):
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -36,9 +36,14 @@
 PATIENCE_GROWTH = 2.0
 # Seconds assumed where the route states no objective or pause.
 UNSTATED_S = 2.0
-# Part of the objective for which a request without a path is kept: a path is
-# often back at once, and a caller that is refused comes back later than that.
-HOLD_PART = 0.5
+# Seconds after the last path was lost for which requests wait for one. Layers of
+# a lost endpoint are loaded elsewhere in about a second, and a caller that is
+# refused comes back later than that. Requests that come later are refused at
+# once: nobody knows then when there will be a path.
+RESTORE_S = 1.3
+# Part of the objective for which a request waits at any rate; an endpoint that
+# failed a moment ago is often back by then.
+HOLD_PART = 0.12
 HOLD_POLL_S = 0.02
 # Tries for one request; it bounds the work that it makes.
 MAX_TRIES = 12
@@ -66,7 +71,10 @@
         self._avoid: set[str] = set()
         self._growth = 1.0
         self._sent = 0
-        self._spare: ResponseHead | None = None
+        self._began = time.monotonic()
+        self._first_at = 0.0
+        self._event_at = 0.0
+        self._pause = (0.0, 0.0)
 
     async def run(self) -> None:
         """Relay the stream until it is complete or given up."""
@@ -81,6 +89,7 @@
                 break
             try:
                 await self._try(path)
+                self._note_end(path)
                 return
             except _Again as again:
                 if not self._continue(path, again):
@@ -120,7 +129,10 @@
             if path is not None:
                 return path
             if time.monotonic() >= deadline:
-                return chooser.path(work.service, set())
+                path = chooser.path(work.service, set())
+                absent_s = chooser.without_path_s(work.service.name)
+                if path is not None or absent_s > RESTORE_S or work.left_s <= 0:
+                    return path
             await anyio.sleep(HOLD_POLL_S)
 
     async def _try(self, path: Path) -> None:
@@ -223,6 +235,7 @@
                 took = time.monotonic() - started
                 self._tools.directory.succeeded(path.first.id, took)
                 self._tools.metrics.first_event(took)
+            self._note_event()
             if not self._reply.started:
                 await self._reply.stream(head)
             await self._reply.chunk(b"".join(event.text for event in events))
@@ -233,6 +246,26 @@
             raise _Again(Retry.BROKEN, "ended inside an event", ran=True)
         await self._reply.end()
 
+    def _note_event(self) -> None:
+        now = time.monotonic()
+        if not self._first_at:
+            self._first_at = now
+        elif now - self._event_at > self._pause[0]:
+            self._pause = (now - self._event_at, now - self._began)
+        self._event_at = now
+
+    def _note_end(self, path: Path) -> None:
+        longest_s, after_s = self._pause
+        logger.info(
+            "stream ended",
+            request=_text(self._work.id),
+            first_ms=round((self._first_at - self._began) * 1000),
+            pause_ms=round(longest_s * 1000),
+            pause_after_ms=round(after_s * 1000),
+            tries=self._sent + 1,
+            path=[part.endpoint.id for part in path.parts],
+        )
+
     def _fresh(self, events: list[Event]) -> list[Event]:
         """Leave out events that the caller has; ids only increase."""
         fresh = []
--- a/packages/router/src/hemlockhall_router/version/layout.py
+++ b/packages/router/src/hemlockhall_router/version/layout.py
@@ -62,12 +62,22 @@
         capacity = model.capacity(endpoint.accelerator)
         if capacity > 0:
             members.append(Member(endpoint, capacity, held.get(endpoint.id)))
+    found = groups(model, members)
+    whole = [not _broken(model, group) for group in found]
     orders: dict[str, LayerRange] = {}
-    for group in groups(model, members):
-        orders.update(plan_group(model, group))
+    for index, group in enumerate(found):
+        others = whole[:index] + whole[index + 1 :]
+        # Sharing a group's layers out anew takes it out of service. If that
+        # were the last whole copy's turn, nothing would be served meanwhile.
+        rebuild = any(others) or not any(whole)
+        orders.update(plan_group(model, group, rebuild=rebuild))
     return orders
 
 
+def _broken(model: Model, group: list[Member]) -> bool:
+    return bool(holes(model, [member for member in group if member.held]))
+
+
 def groups(model: Model, members: list[Member]) -> list[list[Member]]:
     """Split members into groups that each hold a copy.
 
@@ -94,8 +104,20 @@
     return sum(member.capacity for member in members)
 
 
-def plan_group(model: Model, group: list[Member]) -> dict[str, LayerRange]:
-    """Return the orders that complete and balance one group's copy."""
+def plan_group(
+    model: Model, group: list[Member], *, rebuild: bool = True
+) -> dict[str, LayerRange]:
+    """Return the orders that complete and balance one group's copy.
+
+    Parameters
+    ----------
+    model : Model
+        The model.
+    group : list of Member
+        Those that hold a copy together; brought up to date with the orders.
+    rebuild : bool
+        Whether all layers may be shared out anew if nothing else helps.
+    """
     empty = [member for member in group if member.held is None]
     holding = [member for member in group if member.held is not None]
     if not holding:
@@ -107,8 +129,8 @@
         return _changes(share_out(model, group), group)
     for hole in missing:
         found = _fill_by_empty(model, hole, empty, group)
-        found = found or _fill_by_neighbours(hole, holding)
-        if not found:
+        found = found or _fill_by_neighbours(model, hole, holding)
+        if not found and rebuild:
             return _changes(share_out(model, group), group)
         orders.update(found)
         _apply(group, found)
@@ -205,31 +227,105 @@
 
 
 def _fill_by_neighbours(
-    hole: LayerRange, holding: list[Member]
+    model: Model, hole: LayerRange, holding: list[Member]
 ) -> dict[str, LayerRange]:
-    """Let the holders on both sides take a hole, in proportion to their room."""
-    left = _roomiest([m for m in holding if m.held and m.held.end == hole.first])
-    right = _roomiest([m for m in holding if m.held and m.held.first == hole.end])
-    room_left = _room(left)
-    room_right = _room(right)
-    if room_left + room_right < hole.size:
-        return {}
-    take = round(hole.size * room_left / (room_left + room_right))
-    take = min(room_left, max(hole.size - room_right, take))
+    """Let the nearest holders on both sides take a hole, each a little.
+
+    Holders next to the hole move towards it, and those behind them follow, so
+    that few layers are loaded and the rest of the copy stays where it is.
+    Sharing all layers out anew would take the whole copy out of service.
+    """
+    left: list[Member] = []
+    right: list[Member] = []
+    first, end = hole.first, hole.end
+    while sum(_room(member) for member in (*left, *right)) < hole.size:
+        before = _ending(holding, first, left + right) if first > 0 else None
+        after = _starting(holding, end, left + right) if end < model.layers else None
+        if before is None and after is None:
+            return {}
+        nearer_left = len(left) <= len(right)
+        if before is not None and (nearer_left or after is None):
+            assert before.held is not None
+            left.insert(0, before)
+            first = before.held.first
+        elif after is not None:
+            assert after.held is not None
+            right.append(after)
+            end = after.held.end
+    return _spread(LayerRange(first, end), hole, left, right)
+
+
+def _ending(holding: list[Member], layer: int, taken: list[Member]) -> Member | None:
+    """Return the roomiest holder of the layers right before ``layer``."""
+    found = []
+    for member in holding:
+        held = member.held
+        if held and held.first < layer <= held.end and member not in taken:
+            found.append(member)
+    return max(found, key=_room, default=None)
+
+
+def _starting(holding: list[Member], layer: int, taken: list[Member]) -> Member | None:
+    """Return the roomiest holder of the layers from ``layer`` on."""
+    found = []
+    for member in holding:
+        held = member.held
+        if held and held.first <= layer < held.end and member not in taken:
+            found.append(member)
+    return max(found, key=_room, default=None)
+
+
+def _spread(
+    window: LayerRange, hole: LayerRange, left: list[Member], right: list[Member]
+) -> dict[str, LayerRange]:
+    """Share a window out in order; each takes its part of the hole by its room."""
+    chain = left + right
+    room = sum(_room(member) for member in chain)
     orders: dict[str, LayerRange] = {}
-    if left is not None and left.held is not None and take > 0:
-        orders[left.endpoint.id] = LayerRange(left.held.first, hole.first + take)
-    if right is not None and right.held is not None and take < hole.size:
-        orders[right.endpoint.id] = LayerRange(hole.first + take, right.held.end)
+    first = window.first
+    passed = 0
+    given = 0
+    old = window.first
+    for member in chain:
+        assert member.held is not None
+        if member in right and old < hole.end:
+            old = hole.end
+        size = _own_size(member, old, left, right, hole)
+        old += size
+        passed += _room(member)
+        take = round(hole.size * passed / room) - given
+        given += take
+        layers = LayerRange(first, first + size + take)
+        first = layers.end
+        if layers != member.held and layers.size > 0:
+            orders[member.endpoint.id] = layers
     return orders
 
 
-def _roomiest(members: list[Member]) -> Member | None:
-    return max(members, key=_room, default=None)
-
-
-def _room(member: Member | None) -> int:
-    if member is None or member.held is None:
+def _own_size(
+    member: Member,
+    start: int,
+    left: list[Member],
+    right: list[Member],
+    hole: LayerRange,
+) -> int:
+    """Return how many layers of the window a holder has from ``start`` on."""
+    assert member.held is not None
+    chain = left if member in left else right
+    index = chain.index(member)
+    end = member.held.end
+    if member in left:
+        end = hole.first
+        if index + 1 < len(chain):
+            following = chain[index + 1].held
+            assert following is not None
+            end = following.first
+    return max(0, end - start)
+
+
+def _room(member: Member) -> int:
+    """Return how many layers a holder can take over."""
+    if member.held is None:
         return 0
     return max(0, int(member.capacity * FULL) - member.held.size)
 
--- a/tests/router/test_layout.py
+++ b/tests/router/test_layout.py
@@ -110,6 +110,41 @@
             assert uncovered(found, held, place) == [], lost
             assert within_memory(found, held)
 
+    @pytest.mark.parametrize("place", list(PLACES))
+    def test_a_loss_moves_few_layers(self, place: str) -> None:
+        """Callers are refused while layers are loaded. A plan that shared all
+        layers of the data centre out anew took the whole copy out of service
+        for the loss of one endpoint, and of all copies for three losses."""
+        for lost in range(len(PLACES[place])):
+            found = endpoints()
+            held: dict[str, LayerRange | None] = {}
+            settle(found, held)
+            gone = held[f"{place}{lost:02}"]
+            found = [e for e in found if e.id != f"{place}{lost:02}"]
+            before = dict(held)
+            orders = plan(MODEL, found, held)
+            loaded = 0
+            for key, layers in orders.items():
+                old = before[key]
+                loaded += sum(
+                    1
+                    for layer in range(layers.first, layers.end)
+                    if not old.first <= layer < old.end
+                )
+            assert loaded <= 4 * gone.size, (lost, orders)
+            assert len(orders) <= 8
+
+    def test_the_last_whole_copy_is_not_shared_out_anew(self) -> None:
+        """Losses in all data centres at once leave holes that neighbours
+        cannot fill. If all were rebuilt together nobody would be served."""
+        found = endpoints()
+        held: dict[str, LayerRange | None] = {}
+        settle(found, held)
+        found = [e for e in found if e.id[0] != "y" or e.id < "y06"]
+        held = {e.id: held[e.id] for e in found}
+        for key, layers in plan(MODEL, found, held).items():
+            assert key.startswith("y"), layers
+
     def test_an_endpoint_that_comes_back_empty_relieves_its_neighbours(self) -> None:
         found = endpoints()
         held: dict[str, LayerRange | None] = {}
