Count latencies by hdrhistogram in the router; listen before following the store

The histogram moves to a module of its own, so that the router needs no exporter library (14 MB of memory, measured by its import). A host now binds its addresses before it can say that it is ready: two tests failed once, since the store in memory made the host ready before its socket listened; the log of the failed connection showed it.

--- a/packages/core/src/hemlockhall_core/process/metric.py
+++ b/packages/core/src/hemlockhall_core/process/metric.py
@@ -4,47 +4,33 @@
 
 from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import SummaryMetricFamily
 
+from hemlockhall_core.process.latency import Latency
 from hemlockhall_core.request.reason import Refusal, Retry
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-MAX_LATENCY_US = 3_600_000_000
 QUANTILES = (50.0, 95.0, 99.0)
-US = 1_000_000
 
 
-class Latency:
-    """A latency histogram, exported as a summary in seconds."""
+class LatencySummary:
+    """Exports a latency histogram as a summary in seconds."""
 
-    def __init__(self, name: str, text: str) -> None:
-        self._name = name
-        self._text = text
-        self._histogram = HdrHistogram(1, MAX_LATENCY_US, 2)
-        self._sum = 0.0
-
-    def record(self, seconds: float) -> None:
-        """Add one measured time."""
-        self._histogram.record_value(max(1, int(seconds * US)))
-        self._sum += seconds
-
-    def quantile(self, percent: float) -> float:
-        """Return the latency in seconds below which ``percent`` lie."""
-        return self._histogram.get_value_at_percentile(percent) / US
+    def __init__(self, latency: Latency) -> None:
+        self._latency = latency
 
     def collect(self) -> Iterator[SummaryMetricFamily]:
         """Yield the summary for the exporter."""
-        family = SummaryMetricFamily(self._name, self._text)
-        count = self._histogram.get_total_count()
+        latency = self._latency
+        family = SummaryMetricFamily(latency.name, latency.text)
         for percent in QUANTILES:
             label = {"quantile": str(percent / 100)}
-            family.add_sample(self._name, label, self.quantile(percent))
-        family.add_sample(f"{self._name}_count", {}, count)
-        family.add_sample(f"{self._name}_sum", {}, self._sum)
+            family.add_sample(latency.name, label, latency.quantile(percent))
+        family.add_sample(f"{latency.name}_count", {}, latency.count)
+        family.add_sample(f"{latency.name}_sum", {}, latency.sum)
         yield family
 
 
@@ -79,7 +65,7 @@
 
     def _latency(self, name: str, text: str) -> Latency:
         latency = Latency(f"hemlockhall_{name}_seconds", text)
-        self.registry.register(latency)  # type: ignore[arg-type]
+        self.registry.register(LatencySummary(latency))  # type: ignore[arg-type]
         return latency
 
     def refusal(self, reason: Refusal) -> None:
@@ -139,6 +125,5 @@
 
 
 __all__ = [
-    "Latency",
     "Metrics",
 ]
--- a/packages/router/src/hemlockhall_router/connection/link.py
+++ b/packages/router/src/hemlockhall_router/connection/link.py
@@ -61,7 +61,9 @@
 
 
 class Ack(msgspec.Struct, frozen=True, tag="ack"):
-    """A message has arrived."""
+    """A message has arrived at a host with these versions of the tables."""
+
+    versions: dict[str, int]
 
 
 Message = Delta | Status | Ack
--- a/packages/router/src/hemlockhall_router/process/hosts.py
+++ b/packages/router/src/hemlockhall_router/process/hosts.py
@@ -45,8 +45,15 @@
 INTERVAL_S = 0.25
 # Seconds until an unanswered message means that the connection is silent.
 ANSWER_S = 0.8
-# Seconds of silence after which a host no longer counts.
+# Hosts that this one talks to in each interval on average. With more hosts each
+# is talked to less often, so that what one host spends does not grow with their
+# number; what is passed on reaches all in a number of rounds that grows with
+# its logarithm.
+FANOUT = 4
+# Seconds of silence after which a host no longer counts, and how many of its
+# periods at least.
 DEAD_S = 1.5
+DEAD_PERIODS = 3.2
 # Seconds a host may be behind before it is sent rows: it gets them from the
 # store at the same time unless it is cut off from it.
 BEHIND_S = 0.15
@@ -56,6 +63,9 @@
 FORGET_S = 30.0
 # Seconds between readings of the table of hosts while nobody is heard.
 ALONE_S = 4.0
+# Hosts assumed until the table has been read: a host that believed itself alone
+# would spend the whole allowance of repeats.
+UNKNOWN_HOSTS = 8
 
 
 @dataclass(slots=True)
@@ -66,11 +76,12 @@
     status: Status | None = None
     heard_at: float = 0.0
     added_at: float = field(default_factory=time.monotonic)
+    versions: dict[str, int] = field(default_factory=dict)
     behind_since: dict[str, float] = field(default_factory=dict)
 
-    def live(self, now: float) -> bool:
+    def live(self, now: float, dead_s: float) -> bool:
         """Return whether it was heard lately."""
-        return self.status is not None and now - self.heard_at < DEAD_S
+        return self.status is not None and now - self.heard_at < dead_s
 
 
 class HostRow(msgspec.Struct):
@@ -119,7 +130,7 @@
         self._watches = {watch.table.value: watch for watch in watches}
         self.peers: dict[str, Peer] = {}
         self._group: TaskGroup | None = None
-        self._most = 1
+        self._most = UNKNOWN_HOSTS
 
     async def run(self) -> None:
         """Talk to the other hosts until cancelled."""
@@ -137,13 +148,20 @@
     def live(self) -> list[Peer]:
         """Return the hosts that were heard lately."""
         now = time.monotonic()
-        return [peer for peer in self.peers.values() if peer.live(now)]
+        dead_s = self._dead_s()
+        return [peer for peer in self.peers.values() if peer.live(now, dead_s)]
 
     def count(self) -> int:
-        """Return the most hosts that there were together, with this one."""
+        """Return the most hosts that may be there, with this one."""
         self._most = max(self._most, 1 + len(self.live()))
         return self._most
 
+    def _period_s(self) -> float:
+        return INTERVAL_S * max(1.0, len(self.peers) / FANOUT)
+
+    def _dead_s(self) -> float:
+        return max(DEAD_S, DEAD_PERIODS * self._period_s())
+
     def loads(self) -> dict[str, int]:
         """Return the other hosts' requests at each endpoint."""
         counts: dict[str, int] = {}
@@ -168,15 +186,18 @@
     async def _register(self) -> None:
         """Enter this host in the table, and read it while nobody is heard."""
         version: int | None = None
+        known = False
         while True:
             try:
                 deadline = time.monotonic() + 1.0
                 if version is None:
                     version = await self._enter(deadline)
-                if not self.live():
+                if not known or not self.live():
                     page = await self._store.read(Table.HOSTS, deadline)
                     for row in page.rows:
                         self._meet_row(row)
+                    self._most = max(len(page.rows), 1 + len(self.live()))
+                    known = True
             except StoreError as exc:
                 logger.info("table of hosts not reached", cause=str(exc))
             await anyio.sleep(ALONE_S if version is not None else 1.0)
@@ -217,7 +238,7 @@
                     while True:
                         await self._round(link, peer)
                         delay = RETRY_S
-                        await anyio.sleep(INTERVAL_S)
+                        await anyio.sleep(self._period_s())
                 finally:
                     await link.close()
             except WireError:
@@ -231,23 +252,25 @@
 
     async def _round(self, link: Link, peer: Peer) -> None:
         heard = [other.address for other in self.live()]
-        await self._say(link, self._describe(heard))
+        await self._say(link, peer, self._describe(heard))
         for watch in self._watches.values():
             delta = self._lacking(watch, peer)
             if delta is not None:
-                await self._say(link, delta)
+                await self._say(link, peer, delta)
 
-    async def _say(self, link: Link, message: Status | Delta) -> None:
+    async def _say(self, link: Link, peer: Peer, message: Status | Delta) -> None:
         deadline = time.monotonic() + ANSWER_S
         await link.send(message, deadline)
-        await link.receive(deadline)
+        answer = await link.receive(deadline)
+        if isinstance(answer, Ack):
+            peer.versions = answer.versions
 
     def _lacking(self, watch: Watch, peer: Peer) -> Delta | None:
         now = time.monotonic()
-        if peer.status is None or not peer.live(now) or watch.version == 0:
-            return None
         table = watch.table.value
-        theirs = peer.status.versions.get(table, 0)
+        if watch.version == 0 or table not in peer.versions:
+            return None
+        theirs = peer.versions[table]
         if theirs >= watch.version:
             peer.behind_since.pop(table, None)
             return None
@@ -265,12 +288,13 @@
         link = Link(stream)
         try:
             while True:
-                message = await link.receive(time.monotonic() + DEAD_S * 2)
+                message = await link.receive(time.monotonic() + self._dead_s() * 2)
                 if isinstance(message, Status):
                     self._heard(message)
                 elif isinstance(message, Delta):
                     self._take(message)
-                await link.send(Ack(), time.monotonic() + ANSWER_S)
+                versions = {w.table.value: w.version for w in self._watches.values()}
+                await link.send(Ack(versions), time.monotonic() + ANSWER_S)
         except WireError:
             return
         finally:
@@ -286,7 +310,7 @@
         if peer is None:
             return
         now = time.monotonic()
-        if not peer.live(now):
+        if not peer.live(now, self._dead_s()):
             logger.info("host heard", host=status.name, address=status.address)
         peer.status = status
         peer.heard_at = now
--- a/packages/router/src/hemlockhall_router/process/metric.py
+++ b/packages/router/src/hemlockhall_router/process/metric.py
@@ -1,16 +1,21 @@
-"""Counters and latency histograms of the router, as Prometheus text."""
+"""Counters and latency histograms of the router, as Prometheus text.
+
+The text is written here: the exporter's library takes 14 MB of each host, and
+memory is billed; counters and summaries need a few lines.
+"""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from hemlockhall_core.process.latency import Latency
 from hemlockhall_router.request.reason import Refusal, Retry
 
 if TYPE_CHECKING:
     from enum import Enum
 
-# Bounds of the histograms in seconds, around the objectives of 0.3 to 1 s.
-BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0)
+# Percentiles that are shown of each histogram.
+QUANTILES = (50.0, 95.0, 99.0)
 
 
 class Metrics:
@@ -24,8 +29,15 @@
             "orders": {},
             "log_lines_left_out": {"all": 0},
         }
-        self._first = [0] * (len(BOUNDS_S) + 1)
-        self._first_sum = 0.0
+        self.first_event = Latency(
+            "hemlockhall_first_event_seconds", "From sending to the first event"
+        )
+        self.longest_pause = Latency(
+            "hemlockhall_longest_pause_seconds", "Longest pause of each stream"
+        )
+        self.answer_time = Latency(
+            "hemlockhall_answer_seconds", "From sending to a whole answer"
+        )
 
     def refusal(self, reason: Refusal) -> None:
         """Count an answer of this host's own."""
@@ -47,14 +59,6 @@
     def _count(self, name: str, reason: Enum) -> None:
         self.count(name, reason.value)
 
-    def first_event(self, seconds: float) -> None:
-        """Add the time from a request's sending to its first event."""
-        index = 0
-        while index < len(BOUNDS_S) and seconds > BOUNDS_S[index]:
-            index += 1
-        self._first[index] += 1
-        self._first_sum += seconds
-
     def text(self) -> bytes:
         """Return everything in the Prometheus text format."""
         lines = []
@@ -62,17 +66,21 @@
             lines.append(f"# TYPE hemlockhall_{name} counter")
             for label, count in labels.items():
                 lines.append(f'hemlockhall_{name}_total{{label="{label}"}} {count}')
-        name = "hemlockhall_first_event_seconds"
-        lines.append(f"# TYPE {name} histogram")
-        total = 0
-        for bound, count in zip((*BOUNDS_S, "+Inf"), self._first, strict=True):
-            total += count
-            lines.append(f'{name}_bucket{{le="{bound}"}} {total}')
-        lines.append(f"{name}_sum {self._first_sum:.6f}")
-        lines.append(f"{name}_count {total}")
+        for latency in (self.first_event, self.longest_pause, self.answer_time):
+            lines += _summary(latency)
         return "\n".join(lines).encode() + b"\n"
 
 
+def _summary(latency: Latency) -> list[str]:
+    lines = [f"# TYPE {latency.name} summary"]
+    for percent in QUANTILES:
+        value = latency.quantile(percent)
+        lines.append(f'{latency.name}{{quantile="{percent / 100}"}} {value:.6f}')
+    lines.append(f"{latency.name}_sum {latency.sum:.6f}")
+    lines.append(f"{latency.name}_count {latency.count}")
+    return lines
+
+
 __all__ = [
     "Metrics",
 ]
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -32,9 +32,10 @@
 from hemlockhall_router.request.work import Tools
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from pathlib import Path
 
-    from anyio.abc import SocketStream, TaskGroup
+    from anyio.abc import SocketStream, TaskGroup, TaskStatus
 
     from hemlockhall_router.process.setting import RouterSettings
     from hemlockhall_router.process.store import Row
@@ -127,8 +128,9 @@
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self._signals)
-            group.start_soon(self._listen, listen.ready, self._serve_ready)
-            group.start_soon(self._listen, listen.callers, self.front.serve)
+            # Bound before this host can say that it is ready.
+            await group.start(self._listen, listen.callers, self.front.serve)
+            await group.start(self._listen, listen.ready, self._serve_ready)
             group.start_soon(self._routes_watch.run)
             group.start_soon(self._endpoints_watch.run)
             group.start_soon(self._hosts.run)
@@ -143,11 +145,18 @@
         known = self._endpoints_watch.version > 0
         return self.routing is not None and known and not self.front.leaving
 
-    async def _listen(self, address: str, serve) -> None:  # noqa: ANN001
+    async def _listen(
+        self,
+        address: str,
+        serve: Callable[[SocketStream], Awaitable[None]],
+        *,
+        task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
         host, _, port = address.rpartition(":")
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=BACKLOG
         )
+        task_status.started()
         await listener.serve(serve)
 
     async def _serve_ready(self, stream: SocketStream) -> None:
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -168,6 +168,7 @@
         if status < 300 and response.head.header(names.signature) is None:
             raise _Again(Retry.FAILED, "no signature", ran=True)
         self._tools.directory.succeeded(key, took_s)
+        self._tools.metrics.answer_time.record(took_s)
         if status >= 500 and self._work.route.repeatable:
             again = _Again(Retry.FAILED, f"status {status}", ran=True)
             again.response = response
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -234,7 +234,7 @@
                 first = False
                 took = time.monotonic() - started
                 self._tools.directory.succeeded(path.first.id, took)
-                self._tools.metrics.first_event(took)
+                self._tools.metrics.first_event.record(took)
             self._note_event()
             if not self._reply.started:
                 await self._reply.stream(head)
@@ -256,6 +256,7 @@
 
     def _note_end(self, path: Path) -> None:
         longest_s, after_s = self._pause
+        self._tools.metrics.longest_pause.record(longest_s)
         logger.info(
             "stream ended",
             request=_text(self._work.id),
--- a/tests/router/test_process.py
+++ b/tests/router/test_process.py
@@ -75,6 +75,7 @@
         httpx.get(f"http://127.0.0.1:{started.callers}/x")
         text = httpx.get(f"http://127.0.0.1:{started.ready}/metrics").text
         assert 'hemlockhall_refusals_total{label="no_configuration"} 1' in text
+        assert "hemlockhall_first_event_seconds_count 0" in text
         assert 'hemlockhall_retries_total{label="moved"} 0' in text
 
     def test_sigterm_ends_it_in_order(self, started: Started) -> None:
