--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,213 @@
+"""What the platform sends becomes the project's types."""
+
+from __future__ import annotations
+
+import json
+
+import msgspec
+import pytest
+
+from hemlockhall_platform.dialect import PlatformDialect
+from hemlockhall_router.connection.message import RequestHead
+from hemlockhall_router.process.dialect import DecodeError
+from hemlockhall_router.version.endpoint import Endpoint, LayerRange
+from hemlockhall_router.version.path import Part, Path
+from hemlockhall_router.version.routing import Kind
+
+DIALECT = PlatformDialect()
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Hall.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeoutMs": 20000,
+            "latencyGoalMs": 500,
+            "priority": 1,
+            "split": [
+                {"service": "pool", "weight": 90},
+                {"service": "desk", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gapTargetMs": 200,
+        },
+        {
+            "name": "r-2",
+            "host": "hall.example",
+            "prefix": "/a/b/",
+            "kind": "non_idempotent",
+            "timeoutMs": 2000,
+            "service": "desk",
+            "unknown": {"is": "ignored"},
+        },
+    ],
+    "services": [
+        {
+            "name": "pool",
+            "healthPath": "/healthz",
+            "maxConns": 1128,
+            "engine": {
+                "slots": 96,
+                "kvBytes": 1180000,
+                "models": [{"name": "m", "loadS": 14.0}],
+                "step_ms": 0.85,
+                "read_per_s": 196000.0,
+                "loads_at_once": 6,
+                "usual": {"prompt": 772, "answer": 167},
+                "layers": 80,
+                "layerMb": 1750.0,
+                "activationBytes": 59000,
+                "pipeMbps": 13000.0,
+                "kinds": [
+                    {"name": "t4", "mb": 14400.0, "pace": 15.0, "readFactor": 15.0}
+                ],
+            },
+        },
+        {"name": "desk", "healthPath": "/healthz", "maxConns": 100},
+    ],
+    "limits": {
+        "maxHeaderBytes": 100,
+        "maxBodyBytes": 200,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "choir", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+SERVER = {
+    "service": "pool",
+    "address": "10.128.0.9:8080",
+    "zone": "attica-a",
+    "version": "v1",
+    "slots": 96,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "kind": "t4",
+    "born": 1767225600123,
+    "sequence": 4,
+    "layers": {"from": 0, "to": 4, "version": 1},
+}
+
+
+def encode(value: object) -> bytes:
+    return json.dumps(value).encode()
+
+
+class TestConfiguration:
+    def test_routes_services_limits_and_customers(self) -> None:
+        routing = DIALECT.routing("config", encode(CONFIGURATION))
+        assert routing is not None
+        head = RequestHead(b"POST", b"/a/x?y", [(b"Host", b"HALL.example:80")])
+        route = routing.match(head)
+        assert route is not None
+        assert (route.name, route.kind, route.resumable) == ("r-1", Kind.STREAM, True)
+        assert (route.timeout_s, route.objective_s, route.pause_s) == (20, 0.5, 0.2)
+        assert [target.weight for target in route.targets] == [90, 10]
+        head.target = b"/a/b/c"
+        once = routing.match(head)
+        assert once is not None
+        assert (once.kind, once.repeatable) == (Kind.ONCE, False)
+        model = routing.services["pool"].model
+        assert model is not None
+        assert (model.layers, model.capacity("t4"), model.load_s) == (80, 8, 14.0)
+        assert routing.services["desk"].model is None
+        assert routing.limits.idle_s == 15
+        assert routing.customers[b"k2"].name == "choir"
+        assert routing.keys_wanted
+
+    def test_without_customers_no_key_is_wanted(self) -> None:
+        entry = {key: CONFIGURATION[key] for key in ("version", "routes", "services")}
+        routing = DIALECT.routing("config", encode(entry))
+        assert routing is not None
+        assert not routing.keys_wanted
+
+    def test_other_rows_hold_none(self) -> None:
+        assert DIALECT.routing("else", b"{}") is None
+
+    @pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b'{"version": "x"}'])
+    def test_unreadable_bytes_are_an_error(self, value: bytes) -> None:
+        with pytest.raises(DecodeError):
+            DIALECT.routing("config", value)
+
+
+class TestEndpoints:
+    def test_an_entry_names_an_endpoint(self) -> None:
+        endpoint = DIALECT.endpoint("i-1", encode(SERVER))
+        assert endpoint is not None
+        assert endpoint.address == ("10.128.0.9", 8080)
+        assert endpoint.layers == LayerRange(0, 4)
+        assert endpoint.incarnation == ("i-1", 1767225600123)
+        assert endpoint.orders == 4
+        assert not endpoint.draining
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "sleeping"},
+            {"state": None},
+            {"address": "nowhere"},
+            {"address": 5},
+            {"service": None},
+            {"zone": 3},
+            {"layers": [1, 2]},
+        ],
+    )
+    def test_strange_entries_name_none(self, change: dict) -> None:
+        assert DIALECT.endpoint("i-1", encode({**SERVER, **change})) is None
+
+    @pytest.mark.parametrize("field", ["service", "address", "state", "zone"])
+    def test_entries_with_a_field_missing_name_none(self, field: str) -> None:
+        entry = {key: value for key, value in SERVER.items() if key != field}
+        assert DIALECT.endpoint("i-1", encode(entry)) is None
+
+    def test_a_report(self) -> None:
+        body = {
+            "busy": True,
+            "sequence": 2,
+            "kvUsed": 41000,
+            "kvTotal": 90000,
+            "pace": 3.0,
+            "born": 5,
+            "layers": {"from": 1, "to": 2, "version": 1},
+            "stalled": [{"id": "r1", "address": "10.0.0.1:1"}],
+        }
+        report = DIALECT.report(encode(body))
+        assert (report.busy, report.orders, report.pace) == (True, 2, 3.0)
+        assert report.layers == LayerRange(1, 2)
+        assert report.stalled == ("r1",)
+        with pytest.raises(DecodeError):
+            DIALECT.report(b"no")
+
+
+class TestCalls:
+    def test_a_path(self) -> None:
+        first = Endpoint("i-1", "pool", "10.1.64.9", 8080, "a")
+        second = Endpoint("i-2", "pool", "10.2.64.3", 8081, "b")
+        parts = (Part(first, LayerRange(0, 20)), Part(second, LayerRange(20, 80)))
+        text = DIALECT.path_text(Path(parts, 1.0))
+        assert text == b"10.1.64.9:8080=0-20,10.2.64.3:8081=20-80"
+
+    def test_an_order_names_the_orders_before(self) -> None:
+        body = msgspec.json.decode(DIALECT.place_call(LayerRange(20, 31), 4, 0).body)
+        assert body == {
+            "operation": "place",
+            "from": 20,
+            "to": 31,
+            "mode": "queue",
+            "precondition": 4,
+        }
+        body = msgspec.json.decode(DIALECT.place_call(LayerRange(0, 1), 0, 9).body)
+        assert body["fence"] == 9
+
+    def test_token_counts(self) -> None:
+        name = b"X-Hemlockhall-Token-Counts"
+        head = RequestHead(b"POST", b"/", [(name, b"1460,80")])
+        tokens = DIALECT.tokens(head)
+        assert tokens is not None
+        assert (tokens.prompt, tokens.answer) == (1460, 80)
+        assert DIALECT.tokens(RequestHead(b"POST", b"/", [(name, b"x")])) is None
+        assert DIALECT.tokens(RequestHead(b"POST", b"/", [])) is None
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,141 @@
+"""Calls of the platform's store, against one that a test scripts."""
+
+from __future__ import annotations
+
+import base64
+import json
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute, SocketStream
+
+from hemlockhall_platform.store import PlatformStore
+from hemlockhall_router.connection.caller import CallerLimits, CallerReader
+from hemlockhall_router.process.store import (
+    ConditionError,
+    HistoryGoneError,
+    StoreRefusedError,
+    StoreSilentError,
+    Table,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+def row(key: str, value: bytes = b"v", ver: int = 1, **more: object) -> dict:
+    text = base64.b64encode(value).decode()
+    return {"table": "t", "part": "", "key": key, "value": text, "ver": ver, **more}
+
+
+def deadline() -> float:
+    return time.monotonic() + 10
+
+
+@dataclass
+class Scripted:
+    """Answers each call with the next of ``answers``; None never answers."""
+
+    answers: list[tuple[int, dict] | None]
+    calls: list[tuple[str, dict, dict]] = field(default_factory=list)
+
+    async def serve(self, stream: SocketStream) -> None:
+        reader = CallerReader(stream, CallerLimits())
+        async with stream:
+            while (head := await reader.next_head()) is not None:
+                body = await reader.body(deadline())
+                target = urlsplit(head.target.decode())
+                query = {key: value[0] for key, value in parse_qs(target.query).items()}
+                self.calls.append((target.path, query, json.loads(body or b"{}")))
+                answer = self.answers.pop(0)
+                if answer is None:
+                    return
+                status, value = answer
+                text = json.dumps(value).encode()
+                length = f"Content-Length: {len(text)}"
+                head_text = f"HTTP/1.1 {status} X\r\n{length}\r\n\r\n"
+                await stream.send(head_text.encode() + text)
+                reader.done()
+
+
+@asynccontextmanager
+async def scripted(
+    *answers: tuple[int, dict] | None,
+) -> AsyncIterator[tuple[PlatformStore, Scripted]]:
+    made = Scripted(list(answers))
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, made.serve)
+        store = PlatformStore(f"127.0.0.1:{port}")
+        yield store, made
+        await store.close()
+        group.cancel_scope.cancel()
+
+
+class TestReading:
+    async def test_pages_are_read_until_there_are_no_more(self) -> None:
+        first = {"rows": [row("a"), row("b")], "hasMore": True, "ver": 5, "nowMs": 9}
+        second = {"rows": [row("c")], "hasMore": False, "ver": 6, "nowMs": 2500}
+        async with scripted((200, first), (200, second)) as (store, made):
+            page = await store.read(Table.ENDPOINTS, deadline())
+            assert [held.key for held in page.rows] == ["a", "b", "c"]
+            assert (page.version, page.now_s) == (6, 2.5)
+            assert made.calls[0][1] == {"table": "servers"}
+            assert made.calls[1][1]["from"] == "b\0"
+
+    async def test_changes_with_deleted_rows(self) -> None:
+        rows = [row("a", b"\x00\xff", 7), row("b", ver=8, deleted=True)]
+        async with scripted((200, {"rows": rows, "ver": 8})) as (store, made):
+            page = await store.changes(Table.ROUTING, 5, 1.5)
+            assert made.calls[0][0] == "/api/rows-feed"
+            assert made.calls[0][1] == {"table": "op", "after": "5", "waitMs": "1500"}
+            assert page.rows[0].value == b"\x00\xff"
+            assert page.rows[1].deleted
+
+    async def test_lost_history(self) -> None:
+        async with scripted((410, {})) as (store, _):
+            with pytest.raises(HistoryGoneError):
+                await store.changes(Table.ROUTING, 5, 1.0)
+
+    @pytest.mark.parametrize("status", [429, 503])
+    async def test_a_refusal_did_nothing(self, status: int) -> None:
+        async with scripted((status, {})) as (store, _):
+            with pytest.raises(StoreRefusedError):
+                await store.read(Table.ROUTING, deadline())
+
+
+class TestWriting:
+    async def test_the_condition_is_the_version(self) -> None:
+        async with scripted((200, {"ver": 12, "nowMs": 5})) as (store, made):
+            written = await store.write(Table.LEASE, "k", b"me", 7, deadline())
+            assert written.version == 12
+            path, _, body = made.calls[0]
+            assert path == "/api/rows-tx"
+            assert body["precondition"][0]["ver"] == 7
+            assert base64.b64decode(body["put"][0]["value"]) == b"me"
+
+    async def test_another_version_is_told(self) -> None:
+        held = {"rows": [row("k", b"you", 9)], "ver": 11, "nowMs": 5}
+        async with scripted((412, held)) as (store, _):
+            with pytest.raises(ConditionError) as caught:
+                await store.write(Table.LEASE, "k", b"me", 7, deadline())
+            assert caught.value.row is not None
+            assert (caught.value.row.value, caught.value.row.version) == (b"you", 9)
+
+    async def test_a_lost_answer_leaves_it_open(self) -> None:
+        """The connection ends after the call was sent: the write may have been
+        done, or may be done later. The next call uses a new connection."""
+        async with scripted(None, (200, {"ver": 3})) as (store, _):
+            with pytest.raises(StoreSilentError):
+                await store.write(Table.LEASE, "k", b"me", 0, deadline())
+            assert (await store.write(Table.LEASE, "k", b"me", 0, deadline())).version
+
+    async def test_an_unreachable_store_did_nothing(self) -> None:
+        store = PlatformStore("127.0.0.1:1")
+        with pytest.raises(StoreRefusedError):
+            await store.write(Table.LEASE, "k", b"me", 0, deadline())
