--- a/packages/router/src/hemlockhall_router/connection/pool.py
+++ b/packages/router/src/hemlockhall_router/connection/pool.py
@@ -59,15 +59,18 @@
 
     async def sweep(self) -> None:
         """Close the connections whose time is over."""
+        # The lists are changed before anything is awaited: requests take
+        # connections from them meanwhile.
+        ended: list[ClientConnection] = []
         for address in list(self._idle):
-            idle = self._idle[address]
-            for conn in list(idle):
-                if conn.quiet():
-                    continue
-                idle.remove(conn)
-                await conn.close()
-            if not idle:
+            sound = []
+            for conn in self._idle[address]:
+                (sound if conn.quiet() else ended).append(conn)
+            self._idle[address] = sound
+            if not sound:
                 del self._idle[address]
+        for conn in ended:
+            await conn.close()
 
     async def drop(self, address: Address) -> None:
         """Close the idle connections to an address."""
--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -49,14 +49,28 @@
                 best, least = held, wait
         return best
 
-    def path(self, service: Service, tried: set[str]) -> Path | None:
+    def path(
+        self,
+        service: Service,
+        tried: set[str],
+        starts_at: frozenset[str] | None = None,
+    ) -> Path | None:
         """Return the path where a generation runs fastest.
 
-        ``tried`` holds ids of endpoints that failed this request.
+        Parameters
+        ----------
+        service : Service
+            The service; it has a path only if it has a model.
+        tried : set of str
+            Ids of endpoints that failed this request.
+        starts_at : frozenset of str, optional
+            Ids of the endpoints that may receive the request.
         """
         model = service.model
         if model is None:
             return None
+        if starts_at is not None:
+            return self._around(service, model, tried, starts_at)
         best: Path | None = None
         least = float("inf")
         for path in self._known(service.name, model):
@@ -110,14 +124,31 @@
         self._made[service] = (self._directory.version, model.layers, now)
         return paths
 
-    def _around(self, service: Service, model: Model, tried: set[str]) -> Path | None:
+    def alive(self, key: str) -> bool:
+        """Return whether an endpoint is there and answers, as far as is known."""
+        held = self._directory.held.get(key)
+        return held is not None and not held.down
+
+    def _around(
+        self,
+        service: Service,
+        model: Model,
+        tried: set[str],
+        starts_at: frozenset[str] | None = None,
+    ) -> Path | None:
         usable = []
         for held in self._directory.usable(service.name):
             if held.endpoint.id not in tried:
                 usable.append(held)
-        return self._find(model, usable, self._home)
-
-    def _find(self, model: Model, usable: list[Held], place: str) -> Path | None:
+        return self._find(model, usable, self._home, starts_at)
+
+    def _find(
+        self,
+        model: Model,
+        usable: list[Held],
+        place: str,
+        starts_at: frozenset[str] | None = None,
+    ) -> Path | None:
         penalties = {}
         endpoints = []
         for held in usable:
@@ -126,7 +157,11 @@
             penalties[held.endpoint.id] = factor * held.pace
             endpoints.append(held.endpoint)
         return find_path(
-            model, endpoints, place, lambda endpoint: penalties[endpoint.id]
+            model,
+            endpoints,
+            place,
+            lambda endpoint: penalties[endpoint.id],
+            starts_at,
         )
 
 
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -71,6 +71,7 @@
         self._avoid: set[str] = set()
         self._growth = 1.0
         self._sent = 0
+        self._ran_at: set[str] = set()
         self._began = time.monotonic()
         self._first_at = 0.0
         self._event_at = 0.0
@@ -111,6 +112,7 @@
             self._sent += 1
         if again.ran:
             self._ran = True
+            self._ran_at.add(path.first.id)
             return work.route.repeatable
         self._rejected = True
         return True
@@ -125,16 +127,29 @@
         objective = work.route.objective_s or UNSTATED_S
         deadline = min(work.deadline, time.monotonic() + objective * HOLD_PART)
         while True:
-            path = chooser.path(work.service, self._avoid)
+            starts_at = self._starts_at()
+            path = chooser.path(work.service, self._avoid, starts_at)
             if path is not None:
                 return path
             if time.monotonic() >= deadline:
-                path = chooser.path(work.service, set())
+                path = chooser.path(work.service, set(), starts_at)
                 absent_s = chooser.without_path_s(work.service.name)
                 if path is not None or absent_s > RESTORE_S or work.left_s <= 0:
                     return path
             await anyio.sleep(HOLD_POLL_S)
 
+    def _starts_at(self) -> frozenset[str] | None:
+        """Return where the request may be sent if its route's limit is reached.
+
+        It ran at an endpoint that received it. Once as many as the route
+        allows did, and live, it goes on only at one of these, with other
+        endpoints behind it on the path.
+        """
+        alive = [key for key in self._ran_at if self._tools.chooser.alive(key)]
+        if len(alive) < self._work.route.max_endpoints:
+            return None
+        return frozenset(alive)
+
     async def _try(self, path: Path) -> None:
         work, tools = self._work, self._tools
         address = path.first.address
--- a/packages/router/src/hemlockhall_router/version/path.py
+++ b/packages/router/src/hemlockhall_router/version/path.py
@@ -61,6 +61,7 @@
     endpoints: Iterable[Endpoint],
     home: str,
     penalty: Callable[[Endpoint], float],
+    starts_at: frozenset[str] | None = None,
 ) -> Path | None:
     """Return the cheapest path that starts in data centre ``home``.
 
@@ -75,6 +76,8 @@
         data centres more.
     penalty : callable
         Factor on an endpoint's time, at least 1; more for loaded ones.
+    starts_at : frozenset of str, optional
+        Ids of the endpoints that may be the first; all if not given.
     """
     holders = [e for e in endpoints if e.layers is not None and e.layers.size > 0]
     cuts = {0, model.layers}
@@ -94,6 +97,8 @@
             assert layers is not None
             if not layers.first <= cut < layers.end:
                 continue
+            if cut == 0 and starts_at is not None and endpoint.id not in starts_at:
+                continue
             before, reach = _cheapest(starts, endpoint, home)
             accelerator = model.accelerators.get(endpoint.accelerator)
             pace = accelerator.step_factor if accelerator else 1.0
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -121,6 +121,27 @@
             await h.endpoint("p1", script, **ALL)
             assert (await h.ask("/draft/x", method="POST")).body == WHOLE
 
+    async def test_a_stream_runs_on_as_many_endpoints_as_its_route_says(self) -> None:
+        """Three endpoints each hold all layers, and each breaks off after one
+        more event. The route allows two: the stream goes back to one of them
+        and never reaches the third."""
+
+        async def one_more(arrival: Arrival) -> None:
+            await arrival.begin()
+            first = first_event(arrival)
+            await arrival.event(first)
+            if first < EVENTS:
+                await anyio.sleep(0.02)
+                await arrival.reset()
+                return
+            await arrival.end()
+
+        async with hall(ROUTES) as h:
+            pool = [await h.endpoint(f"p{n}", one_more, **ALL) for n in range(3)]
+            assert (await h.ask("/draft/x", method="POST")).body == WHOLE
+            assert sum(len(endpoint.arrivals) for endpoint in pool) == EVENTS
+            assert sum(1 for endpoint in pool if endpoint.arrivals) == 2
+
     async def test_a_stream_that_may_not_be_resumed_does_not_look_complete(
         self,
     ) -> None:
