Keep the bytes of each answer apart; ask fewer questions under load

A late answer that came in one read with half of the next one took that half.

Ruled out: a cut answer (its length was exact); the endpoint (its run ended with 200).

Also: questions to endpoints are spread by the number of hosts and become rarer while they find nothing; calls for changes wait 5 s while other hosts are heard.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -5,6 +5,7 @@
 import select
 import time
 from collections import deque
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
@@ -27,34 +28,53 @@
 BODILESS = frozenset((204, 304))
 
 
+@dataclass(slots=True)
+class _Message:
+    """One response as far as it has come.
+
+    Each holds its own bytes: a late answer to an earlier request may arrive
+    in one read with the answer that is due.
+    """
+
+    headers: Headers = field(default_factory=list)
+    reason: bytes = b""
+    head: ResponseHead | None = None
+    chunks: deque[bytes] = field(default_factory=deque)
+    complete: bool = False
+
+
 class _Events:
     """Receives the callbacks of the parser for one response after another."""
 
     def __init__(self) -> None:
-        self.headers: Headers = []
-        self.reason = b""
-        self.heads: deque[tuple[bytes, Headers]] = deque()
-        self.chunks: deque[bytes] = deque()
-        self.complete = 0
+        self.parser = httptools.HttpResponseParser(self)
+        self.messages: deque[_Message] = deque()
+        self._current = _Message()
 
     def on_message_begin(self) -> None:
-        self.headers = []
-        self.reason = b""
+        self._current = _Message()
+        self.messages.append(self._current)
 
     def on_status(self, reason: bytes) -> None:
-        self.reason += reason
+        self._current.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name, value))
+        self._current.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        self.heads.append((self.reason, self.headers))
+        message = self._current
+        message.head = ResponseHead(
+            self.parser.get_status_code(),
+            message.reason,
+            message.headers,
+            self.parser.should_keep_alive(),
+        )
 
     def on_body(self, body: bytes) -> None:
-        self.chunks.append(body)
+        self._current.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        self.complete += 1
+        self._current.complete = True
 
 
 class ClientConnection:
@@ -66,12 +86,11 @@
     def __init__(self, stream: SocketStream) -> None:
         self._stream = stream
         self._events = _Events()
-        self._parser = httptools.HttpResponseParser(self._events)
-        self._head: ResponseHead | None = None
+        self._message: _Message | None = None
         self._until_close = False
         self._bodiless = False
-        self._ended = True
         self._closed = False
+        self._spoilt = False
         self.reusable = True
         self.idle_deadline = float("inf")
 
@@ -89,9 +108,7 @@
 
     async def send(self, text: bytes, deadline: float) -> None:
         """Send a whole request; an error means that it may have run."""
-        self._head = None
-        self._ended = False
-        self._until_close = False
+        self._message = None
         self.reusable = False
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
@@ -103,22 +120,23 @@
 
     async def head(self, deadline: float, *, bodiless: bool = False) -> ResponseHead:
         """Return the head of the next final response."""
+        self.reusable = False
+        messages = self._events.messages
         while True:
-            while not self._events.heads:
+            while not messages or messages[0].head is None:
                 await self._read(deadline)
-            reason, headers = self._events.heads.popleft()
-            status = self._parser.get_status_code()
-            if status >= 200:
+            message = messages.popleft()
+            assert message.head is not None
+            if message.head.status >= 200:
                 break
             # An interim response announces the final one; nothing is relayed.
-            self._events.complete = 0
-        keep_alive = self._parser.should_keep_alive()
-        self._head = ResponseHead(status, reason, headers, keep_alive)
-        self._bodiless = bodiless or status in BODILESS
-        framed = self._head.header(b"content-length") is not None
-        chunked = self._head.header(b"transfer-encoding") is not None
+        head = message.head
+        self._message = message
+        self._bodiless = bodiless or head.status in BODILESS
+        framed = head.header(b"content-length") is not None
+        chunked = head.header(b"transfer-encoding") is not None
         self._until_close = not framed and not chunked and not self._bodiless
-        return self._head
+        return head
 
     async def chunk(self, deadline: float) -> bytes | None:
         """Return the next bytes of the body, or None when it is complete.
@@ -128,18 +146,20 @@
         BrokenError
             If the connection broke, or nothing came before ``deadline``.
         """
-        while True:
-            if self._events.chunks:
-                return self._events.chunks.popleft()
-            if self._events.complete or self._bodiless or self._ended:
-                self._finish()
-                return None
+        message = self._message
+        while message is not None:
+            if message.chunks:
+                return message.chunks.popleft()
+            if message.complete or self._bodiless:
+                break
             try:
                 await self._read(deadline)
             except _CleanEnd:
                 if not self._until_close:
                     raise BrokenError("the answer ended before its end") from None
-                self._ended = True
+                break
+        self._finish()
+        return None
 
     async def whole(self, deadline: float, *, bodiless: bool = False) -> Response:
         """Return a response with its complete body."""
@@ -156,15 +176,13 @@
             parts.append(part)
 
     def _finish(self) -> None:
-        if self._head is None or self._ended:
+        message, self._message = self._message, None
+        if message is None or message.head is None:
             return
-        self._ended = True
-        clean = not self._events.heads and not self._events.chunks
-        exact = self._events.complete == 1 or self._bodiless
-        self.reusable = clean and exact and self._head.keep_alive
-        self._events.complete = 0
-        if self._until_close or self._bodiless:
-            self.reusable = False
+        # More than this answer came, or its end is the connection's.
+        exact = message.complete and not self._events.messages
+        kept = message.head.keep_alive and not self._bodiless
+        self.reusable = exact and kept and not self._until_close and not self._spoilt
 
     async def _read(self, deadline: float) -> None:
         try:
@@ -173,19 +191,20 @@
         except TimeoutError as exc:
             raise BrokenError("nothing came in time") from exc
         except anyio.EndOfStream as exc:
-            if self._head is not None:
+            if self._message is not None:
                 raise _CleanEnd from exc
             raise BrokenError("closed before an answer") from exc
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise BrokenError("the connection broke") from exc
         try:
-            self._parser.feed_data(data)
+            self._events.parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
             raise NoHttpError("the endpoint switched protocols") from exc
         except httptools.HttpParserError as exc:
             # What came before the spoilt bytes may be a complete answer.
-            if self._events.complete:
-                self.reusable = False
+            self._spoilt = True
+            last = self._events.messages[0] if self._events.messages else self._message
+            if last is not None and last.complete:
                 return
             raise NoHttpError(f"not an HTTP response: {exc}") from exc
 
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -257,6 +257,11 @@
             held.endpoint = replace(old, orders=report.orders, layers=report.layers)
             self._bump()
 
+    def suspect(self, key: str) -> bool:
+        """Return whether an endpoint is down or slow."""
+        held = self.held.get(key)
+        return held is not None and held.suspect
+
     def set_elsewhere(self, counts: dict[str, int]) -> None:
         """Take the numbers of requests that the other hosts have."""
         for key, held in self.held.items():
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -14,6 +14,8 @@
 from hemlockhall_router.process.dialect import Call, DecodeError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hemlockhall_router.connection.message import Response
     from hemlockhall_router.process.dialect import Dialect
     from hemlockhall_router.process.directory import Directory
@@ -25,8 +27,16 @@
 ANSWER_S = 0.08
 # Seconds allowed where nobody waits: after an order, or for one already down.
 PATIENT_S = 0.4
-# Seconds between two questions to one endpoint; each is priced.
+# Seconds between two questions to one endpoint, for each four hosts: all of them
+# ask, each question is priced, and an endpoint answers some hundred a second.
 AGAIN_S = 0.5
+HOSTS = 4
+# Factor on the silence that puts a path in doubt after questions that found
+# nothing: under load streams pause although all endpoints live. It falls back
+# by itself, and at once when an endpoint is found dead or slow.
+CALM = 1.6
+CALM_MAX = 8.0
+CALM_FALL = 0.995
 # Seconds between two questions to an endpoint that is down or slow.
 SUSPECT_AGAIN_S = 1.0
 # Seconds between two looks at the streams under way.
@@ -53,17 +63,22 @@
 class Prober:
     """Asks endpoints in doubt for their state, all at once."""
 
-    def __init__(self, dialect: Dialect, directory: Directory) -> None:
+    def __init__(
+        self, dialect: Dialect, directory: Directory, hosts: Callable[[], int]
+    ) -> None:
         self._dialect = dialect
         self._directory = directory
+        self._hosts = hosts
         self._doubted: set[str] = set()
+        self._calm = 1.0
 
     def doubt(self, ids: list[str]) -> None:
         """Ask these endpoints soon, unless they were asked just now."""
         now = time.monotonic()
+        again_s = AGAIN_S * max(1.0, self._hosts() / HOSTS)
         for key in ids:
             held = self._directory.held.get(key)
-            if held is None or now - held.checked_at < AGAIN_S:
+            if held is None or now - held.checked_at < again_s:
                 continue
             held.checked_at = now
             self._doubted.add(key)
@@ -80,8 +95,9 @@
 
     def _find_silent(self) -> None:
         now = time.monotonic()
+        self._calm = max(1.0, self._calm * CALM_FALL)
         for running in self._directory.running:
-            if running.silent(now):
+            if running.silent(now, self._calm):
                 running.doubted = True
                 self.doubt(running.ids)
 
@@ -89,8 +105,9 @@
         due = list(self._doubted)
         self._doubted.clear()
         now = time.monotonic()
+        again_s = SUSPECT_AGAIN_S * max(1.0, self._hosts() / HOSTS)
         for key, held in self._directory.held.items():
-            if held.suspect and now - held.checked_at >= SUSPECT_AGAIN_S:
+            if held.suspect and now - held.checked_at >= again_s:
                 held.checked_at = now
                 due.append(key)
         return due
@@ -105,6 +122,8 @@
             return
         for key in failed:
             self._directory.set_down(key, down=True)
+        slow = any(self._directory.suspect(key) for key in ids)
+        self._calm = 1.0 if failed or slow else min(CALM_MAX, self._calm * CALM)
 
     async def _ask(self, key: str, failed: list[str]) -> None:
         held = self._directory.held.get(key)
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -75,9 +75,11 @@
         self._dialect = load_dialect(host.dialect, host.dialect_module)
         self._store = self._dialect.store(settings.store.address)
         self.routing: Routing | None = None
-        self._routes_watch = Watch(self._store, Table.ROUTING, self._routing_changed)
+        self._routes_watch = Watch(
+            self._store, Table.ROUTING, self._routing_changed, self._hears_others
+        )
         self._endpoints_watch = Watch(
-            self._store, Table.ENDPOINTS, self._endpoints_changed
+            self._store, Table.ENDPOINTS, self._endpoints_changed, self._hears_others
         )
         self.directory = Directory(self._dialect.endpoint, self._outage, lambda: None)
         self.lease = Lease(self._store, host.name, self._boot)
@@ -94,7 +96,7 @@
         self._budget = Budget(
             retry.ratio, retry.constant, retry.window_s, self._hosts.count
         )
-        self._prober = Prober(self._dialect, self.directory)
+        self._prober = Prober(self._dialect, self.directory, self._hosts.count)
         chooser = Chooser(self.directory, host.data_centre)
         self._pool = Pool()
         tools = Tools(
@@ -204,6 +206,9 @@
     def _endpoints_changed(self, rows: list[Row]) -> None:
         self.directory.take(rows)
 
+    def _hears_others(self) -> bool:
+        return bool(self._hosts.live())
+
     def _outage(self) -> float:
         """Return until when a missing entry may come back, or 0."""
         watch = self._endpoints_watch
--- a/packages/router/src/hemlockhall_router/process/watch.py
+++ b/packages/router/src/hemlockhall_router/process/watch.py
@@ -15,10 +15,13 @@
 
     from hemlockhall_router.process.store import Store, Table
 
-# Seconds one call for changes waits at the store. It bounds how long a
-# silent connection hides a change: wait, allowance and one read of the table
-# stay below the contact time of 3 s plus the 2 s in which a change must hold.
+# Seconds one call for changes waits at the store. It bounds how long a silent
+# connection hides a change: wait, allowance and one read of the table stay below
+# the contact time of 3 s plus the 2 s in which a change must hold.
 WAIT_S = 2.5
+# The same while other hosts are heard: they pass on what a silent connection
+# hides, and each call is billed.
+WAIT_HEARD_S = 5.0
 # Seconds allowed for reading the whole table.
 READ_S = 1.5
 # Seconds between tries while the store does not answer.
@@ -26,7 +29,7 @@
 RETRY_MAX_S = 0.5
 # Seconds after a change before the next call: changes come in groups, and each
 # call is billed, while a change may take 2 s to be in force.
-BATCH_S = 0.2
+BATCH_S = 0.4
 # Deletions remembered for hosts that are behind.
 TOMBSTONES = 512
 
@@ -41,14 +44,20 @@
     table : Table
         The table.
     changed : callable
-        Called with the changed rows after each step, and whether these
-        are all rows of the table.
+        Called with the changed rows after each step.
+    heard : callable
+        Returns whether another host is heard that would pass changes on.
     """
 
     def __init__(
-        self, store: Store, table: Table, changed: Callable[[list[Row]], None]
+        self,
+        store: Store,
+        table: Table,
+        changed: Callable[[list[Row]], None],
+        heard: Callable[[], bool],
     ) -> None:
         self._store = store
+        self._heard = heard
         self.table = table
         self._changed = changed
         self.version = 0
@@ -71,7 +80,8 @@
                     self.replace(page.rows, page.version)
                     fresh = True
                 else:
-                    page = await self._store.changes(self.table, self.version, WAIT_S)
+                    wait_s = WAIT_HEARD_S if self._heard() else WAIT_S
+                    page = await self._store.changes(self.table, self.version, wait_s)
                     self._reach()
                     self.apply(page.rows, page.version)
                     if page.rows:
--- a/packages/router/src/hemlockhall_router/request/running.py
+++ b/packages/router/src/hemlockhall_router/request/running.py
@@ -42,9 +42,9 @@
         self.quiet_s = quiet_s
         self.doubted = False
 
-    def silent(self, now: float) -> bool:
+    def silent(self, now: float, factor: float) -> bool:
         """Return whether it has been silent for too long, and not been doubted."""
-        return not self.doubted and now - self.heard_at > self.quiet_s
+        return not self.doubted and now - self.heard_at > self.quiet_s * factor
 
     def move(self, cause: str) -> None:
         """Let it go on elsewhere."""
