Leave a stream where it is if no repeat is left

Cause: streams on a leaving endpoint were moved after 1.4 s also when the budget of repeats was spent; they were broken off although the endpoint served on.

Ruled out: the endpoints' own ends (they serve for 2 s and more after notice).

Before: the new test got a cut stream; after: it passes.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -174,7 +174,8 @@
                 self._bump()
         for held in (*self.held.values(), *self._departed):
             if held.leave_deadline is not None and now >= held.leave_deadline:
-                _move(held, "endpoint leaves")
+                held.leave_deadline = now + MOVE_S
+                _move(held, "endpoint leaves", served=True)
         self._departed = [held for held in self._departed if held.running]
 
     def _bump(self) -> None:
@@ -268,9 +269,9 @@
             held.elsewhere = counts.get(key, 0)
 
 
-def _move(held: Held, cause: str) -> None:
+def _move(held: Held, cause: str, *, served: bool = False) -> None:
     for running in list(held.running):
-        running.move(cause)
+        running.move(cause, served=served)
 
 
 def _span(endpoint: Endpoint) -> str:
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -93,7 +93,7 @@
             self._suspect,
         )
         retry = settings.retry
-        self._budget = Budget(
+        self.budget = Budget(
             retry.ratio, retry.constant, retry.window_s, self._hosts.count
         )
         self._prober = Prober(self._dialect, self.directory, self._hosts.count)
@@ -104,7 +104,7 @@
             self._pool,
             self.directory,
             chooser,
-            self._budget,
+            self.budget,
             metrics,
             self._prober,
         )
@@ -269,9 +269,9 @@
         if settings == self._settings:
             return
         self._settings = settings
-        self._budget.ratio = settings.retry.ratio
-        self._budget.constant = settings.retry.constant
-        self._budget.window_s = settings.retry.window_s
+        self.budget.ratio = settings.retry.ratio
+        self.budget.constant = settings.retry.constant
+        self.budget.window_s = settings.retry.window_s
         logger.info("settings reloaded")
 
     async def _signals(self) -> None:
--- a/packages/router/src/hemlockhall_router/request/running.py
+++ b/packages/router/src/hemlockhall_router/request/running.py
@@ -26,13 +26,19 @@
         Endpoints on its path.
     quiet_s : float
         Seconds of silence from which its endpoints are in doubt.
+    allow : callable
+        Takes a repeat from the budget, or returns False if none is left.
     """
 
-    def __init__(self, ids: list[str], quiet_s: float) -> None:
+    def __init__(
+        self, ids: list[str], quiet_s: float, allow: Callable[[], bool]
+    ) -> None:
         self.ids = ids
         self.quiet_s = quiet_s
         self.heard_at = time.monotonic()
         self.doubted = False
+        self.paid = False
+        self._allow = allow
         self._cause: str | None = None
         self._scope: anyio.CancelScope | None = None
 
@@ -46,10 +52,18 @@
         """Return whether it has been silent for too long, and not been doubted."""
         return not self.doubted and now - self.heard_at > self.quiet_s * factor
 
-    def move(self, cause: str) -> None:
-        """Let it go on elsewhere."""
+    def move(self, cause: str, *, served: bool = False) -> None:
+        """Let it go on elsewhere.
+
+        While it is still ``served`` it stays if no repeat is left: it would be
+        broken off here and could not be sent anywhere else.
+        """
         if self._cause is not None:
             return
+        if served:
+            self.paid = self._allow()
+            if not self.paid:
+                return
         self._cause = cause
         if self._scope is not None:
             self._scope.cancel()
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -72,6 +72,7 @@
         self._growth = 1.0
         self._sent = 0
         self._ran_at: set[str] = set()
+        self._paid = False
         self._began = time.monotonic()
         self._first_at = 0.0
         self._event_at = 0.0
@@ -83,11 +84,9 @@
             path = await self._path()
             if path is None or self._work.left_s <= 0:
                 break
-            allowed = not self._sent or self._tools.budget.allow(
-                self._work.service.name
-            )
-            if not allowed:
+            if self._sent and not self._paid and not self._allow():
                 break
+            self._paid = False
             try:
                 await self._try(path)
                 self._note_end(path)
@@ -97,6 +96,9 @@
                     break
         await self._give_up()
 
+    def _allow(self) -> bool:
+        return self._tools.budget.allow(self._work.service.name)
+
     def _continue(self, path: Path, again: _Again) -> bool:
         work = self._work
         self._tools.metrics.retry(again.reason)
@@ -161,11 +163,12 @@
             self._avoid.add(path.first.id)
             raise _Again(Retry.NOT_SENT, str(exc), ran=False) from exc
         ids = [part.endpoint.id for part in path.parts]
-        running = Running(ids, self._quiet_first_s())
+        running = Running(ids, self._quiet_first_s(), self._allow)
         try:
             with Occupied(tools.directory, ids, running):
                 head = await self._relay(conn, path, running)
         except MovedError as exc:
+            self._paid = running.paid
             raise _Again(Retry.MOVED, str(exc), ran=True) from exc
         except WireError as exc:
             tools.prober.doubt(ids)
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -191,6 +191,44 @@
             assert pool.arrivals[1].header("resume-after") == "1"
 
 
+class TestMoving:
+    async def test_a_stream_stays_where_no_repeat_is_left(self) -> None:
+        """An endpoint leaves while a stream runs there, and the budget of
+        repeats is spent. The endpoint still serves: moving the stream broke it
+        off, since it could not be sent anywhere else."""
+        go_on = anyio.Event()
+
+        async def slow(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await go_on.wait()
+            for number in range(2, EVENTS + 1):
+                await arrival.event(number)
+            await arrival.end()
+
+        routes = [RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)]
+        async with hall(routes) as h:
+            pool = await h.endpoint("p1", slow, **ALL)
+            router = h.routers[0]
+            router.budget.constant = 0.0
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                held = router.directory.held["p1"]
+                await h.until(lambda: held.running)
+                h.enter(pool, "pool", draining=True, layers=(0, 8), accelerator="big")
+                await h.until(lambda: held.leave_deadline is not None)
+                held.leave_deadline = 0.0
+                router.directory.expire()
+                await anyio.sleep(0.1)
+                go_on.set()
+            assert bodies == [WHOLE]
+
+
 class TestLeaving:
     async def test_a_stream_outlives_sigterm(self) -> None:
         """A stream is under way when the host is told to end: the balancer is
