Split what had grown: one class for failed tries, repair, peers, times

No behaviour is changed. Two copies of the class for a failed try become one; filling of holes, members, peers and a stream's times get modules of their own.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -164,7 +164,7 @@
     async def whole(self, deadline: float, *, bodiless: bool = False) -> Response:
         """Return a response with its complete body."""
         head = await self.head(deadline, bodiless=bodiless)
-        parts = []
+        parts: list[bytes] = []
         size = 0
         while True:
             part = await self.chunk(deadline)
--- a/packages/router/src/hemlockhall_router/connection/pool.py
+++ b/packages/router/src/hemlockhall_router/connection/pool.py
@@ -63,7 +63,7 @@
         # connections from them meanwhile.
         ended: list[ClientConnection] = []
         for address in list(self._idle):
-            sound = []
+            sound: list[ClientConnection] = []
             for conn in self._idle[address]:
                 (sound if conn.quiet() else ended).append(conn)
             self._idle[address] = sound
--- a/packages/router/src/hemlockhall_router/process/hosts.py
+++ b/packages/router/src/hemlockhall_router/process/hosts.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
@@ -25,6 +24,7 @@
     PassedRow,
     Status,
 )
+from hemlockhall_router.process.peer import Peer
 from hemlockhall_router.process.store import (
     ConditionError,
     Row,
@@ -68,22 +68,6 @@
 UNKNOWN_HOSTS = 8
 
 
-@dataclass(slots=True)
-class Peer:
-    """Another host, as heard last."""
-
-    address: str
-    status: Status | None = None
-    heard_at: float = 0.0
-    added_at: float = field(default_factory=time.monotonic)
-    versions: dict[str, int] = field(default_factory=dict)
-    behind_since: dict[str, float] = field(default_factory=dict)
-
-    def live(self, now: float, dead_s: float) -> bool:
-        """Return whether it was heard lately."""
-        return self.status is not None and now - self.heard_at < dead_s
-
-
 class HostRow(msgspec.Struct):
     """A row of the table of hosts."""
 
@@ -335,5 +319,4 @@
 
 __all__ = [
     "Hosts",
-    "Peer",
 ]
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -9,6 +9,7 @@
 
 from hemlockhall_router.connection.client import ClientConnection
 from hemlockhall_router.connection.error import BrokenError, NotSentError, WireError
+from hemlockhall_router.request.failure import TryFailedError, id_text
 from hemlockhall_router.request.reason import Refusal, Retry
 from hemlockhall_router.request.work import Occupied, Tools, Work, outgoing
 
@@ -34,16 +35,6 @@
 ABSENT_AGAIN_S = 1.0
 
 
-class _Again(Exception):
-    """The try failed; ``ran`` tells whether it may have run."""
-
-    def __init__(self, reason: Retry, cause: str, *, ran: bool) -> None:
-        super().__init__(cause)
-        self.reason = reason
-        self.ran = ran
-        self.response: Response | None = None
-
-
 class PlainRelay:
     """Relays one request with one answer."""
 
@@ -70,7 +61,7 @@
                 return
             try:
                 response = await self._try(held)
-            except _Again as again:
+            except TryFailedError as again:
                 if not self._continue(held, again):
                     await self._give_up(Refusal.ENDPOINTS_FULL)
                     return
@@ -78,14 +69,14 @@
             await self._reply.whole(response)
             return
 
-    def _continue(self, held: Held, again: _Again) -> bool:
+    def _continue(self, held: Held, again: TryFailedError) -> bool:
         """Note a failed try; return whether another one may follow."""
         work = self._work
         self._tried.add(held.endpoint.id)
         self._tools.metrics.retry(again.reason)
         logger.info(
             "try failed",
-            request=_text(work.id),
+            request=id_text(work.id),
             endpoint=held.endpoint.id,
             reason=again.reason.value,
             cause=str(again),
@@ -115,7 +106,7 @@
                 conn = await ClientConnection.open(host, port, connect_deadline)
         except NotSentError as exc:
             tools.directory.failed(endpoint.id, str(exc))
-            raise _Again(Retry.NOT_SENT, str(exc), ran=False) from exc
+            raise TryFailedError(Retry.NOT_SENT, str(exc), ran=False) from exc
         started = time.monotonic()
         try:
             with Occupied(tools.directory, [endpoint.id]):
@@ -124,7 +115,7 @@
             silent = time.monotonic() - started > PATIENCE_FLOOR_S
             tools.directory.failed(endpoint.id, str(exc))
             reason = Retry.SILENT if silent else Retry.BROKEN
-            raise _Again(reason, str(exc), ran=True) from exc
+            raise TryFailedError(reason, str(exc), ran=True) from exc
         finally:
             if not conn.reusable:
                 await conn.close()
@@ -144,7 +135,7 @@
                 return response
             # An answer to an earlier request of this connection came late; the
             # answer to this one follows it.
-            logger.warning("foreign answer skipped", request=_text(work.id))
+            logger.warning("foreign answer skipped", request=id_text(work.id))
         raise BrokenError("only answers to other requests came")
 
     def _patience(self, held: Held) -> float:
@@ -155,24 +146,23 @@
         return min(work.deadline, time.monotonic() + wait)
 
     def _judge(self, held: Held, response: Response, took_s: float) -> Response:
-        """Return the answer to relay, or raise ``_Again``."""
+        """Return the answer to relay, or raise ``TryFailedError``."""
         names = self._tools.dialect.headers
         status = response.head.status
         key = held.endpoint.id
         if response.head.header(names.not_run) is not None or status == 421:
             if status == 421:
                 self._tools.directory.failed(key, "another endpoint has its address")
-            raise _Again(Retry.REJECTED, f"status {status}", ran=False)
+            raise TryFailedError(Retry.REJECTED, f"status {status}", ran=False)
         if response.head.header(b"content-encoding") is not None:
-            raise _Again(Retry.FAILED, "the body is encoded", ran=True)
+            raise TryFailedError(Retry.FAILED, "the body is encoded", ran=True)
         if status < 300 and response.head.header(names.signature) is None:
-            raise _Again(Retry.FAILED, "no signature", ran=True)
+            raise TryFailedError(Retry.FAILED, "no signature", ran=True)
         self._tools.directory.succeeded(key, took_s)
         self._tools.metrics.answer_time.record(took_s)
         if status >= 500 and self._work.route.repeatable:
-            again = _Again(Retry.FAILED, f"status {status}", ran=True)
-            again.response = response
-            raise again
+            cause = f"status {status}"
+            raise TryFailedError(Retry.FAILED, cause, ran=True, response=response)
         return response
 
     async def _give_up(self, refusal: Refusal) -> None:
@@ -189,7 +179,7 @@
         self._tools.metrics.refusal(refusal)
         logger.warning(
             "request given up",
-            request=_text(work.id),
+            request=id_text(work.id),
             route=work.route.name,
             reason=refusal.value,
             tried=sorted(self._tried),
@@ -202,10 +192,6 @@
         await self._reply.own(503, "no endpoint can take the request", again_s)
 
 
-def _text(value: bytes) -> str:
-    return value.decode("latin-1")
-
-
 __all__ = [
     "PlainRelay",
 ]
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -10,9 +10,11 @@
 
 from hemlockhall_router.connection.error import NotSentError, WireError
 from hemlockhall_router.request.events import Splitter
+from hemlockhall_router.request.failure import TryFailedError, id_text
 from hemlockhall_router.request.plain import ABSENT_AGAIN_S, CONNECT_S, FULL_AGAIN_S
 from hemlockhall_router.request.reason import Refusal, Retry
 from hemlockhall_router.request.running import MovedError, Running
+from hemlockhall_router.request.times import Times
 from hemlockhall_router.request.work import Occupied, Tools, Work, outgoing
 
 if TYPE_CHECKING:
@@ -49,15 +51,6 @@
 MAX_TRIES = 12
 
 
-class _Again(Exception):
-    """The try failed; ``ran`` tells whether it may have run."""
-
-    def __init__(self, reason: Retry, cause: str, *, ran: bool) -> None:
-        super().__init__(cause)
-        self.reason = reason
-        self.ran = ran
-
-
 class StreamRelay:
     """Relays one stream."""
 
@@ -73,10 +66,7 @@
         self._sent = 0
         self._ran_at: set[str] = set()
         self._paid = False
-        self._began = time.monotonic()
-        self._first_at = 0.0
-        self._event_at = 0.0
-        self._pause = (0.0, 0.0)
+        self._times = Times()
 
     async def run(self) -> None:
         """Relay the stream until it is complete or given up."""
@@ -91,7 +81,7 @@
                 await self._try(path)
                 self._note_end(path)
                 return
-            except _Again as again:
+            except TryFailedError as again:
                 if not self._continue(path, again):
                     break
         await self._give_up()
@@ -99,16 +89,16 @@
     def _allow(self) -> bool:
         return self._tools.budget.allow(self._work.service.name)
 
-    def _continue(self, path: Path, again: _Again) -> bool:
+    def _continue(self, path: Path, again: TryFailedError) -> bool:
         work = self._work
         self._tools.metrics.retry(again.reason)
         logger.info(
             "stream broke",
-            request=_text(work.id),
+            request=id_text(work.id),
             reason=again.reason.value,
             cause=str(again),
             path=[part.endpoint.id for part in path.parts],
-            after=_text(self._last_id or b""),
+            after=id_text(self._last_id or b""),
         )
         if again.reason is not Retry.NOT_SENT:
             self._sent += 1
@@ -161,7 +151,7 @@
         except NotSentError as exc:
             tools.directory.failed(path.first.id, str(exc))
             self._avoid.add(path.first.id)
-            raise _Again(Retry.NOT_SENT, str(exc), ran=False) from exc
+            raise TryFailedError(Retry.NOT_SENT, str(exc), ran=False) from exc
         ids = [part.endpoint.id for part in path.parts]
         running = Running(ids, self._quiet_first_s(), self._allow)
         try:
@@ -169,13 +159,13 @@
                 head = await self._relay(conn, path, running)
         except MovedError as exc:
             self._paid = running.paid
-            raise _Again(Retry.MOVED, str(exc), ran=True) from exc
+            raise TryFailedError(Retry.MOVED, str(exc), ran=True) from exc
         except WireError as exc:
             tools.prober.doubt(ids)
             self._growth *= PATIENCE_GROWTH
             silent = "in time" in str(exc)
             self._avoid.update(ids if silent else ids[:1])
-            raise _Again(
+            raise TryFailedError(
                 Retry.SILENT if silent else Retry.BROKEN, str(exc), ran=True
             ) from exc
         finally:
@@ -205,21 +195,21 @@
     async def _judge(
         self, conn: ClientConnection, head: ResponseHead, path: Path
     ) -> None:
-        """Raise ``_Again`` unless the answer is a stream to relay."""
+        """Raise ``TryFailedError`` unless the answer is a stream to relay."""
         names = self._tools.dialect.headers
         not_run = head.header(names.not_run) is not None or head.status == 421
         if not_run:
             self._blame(head, path)
-            raise _Again(Retry.REJECTED, f"status {head.status}", ran=False)
+            raise TryFailedError(Retry.REJECTED, f"status {head.status}", ran=False)
         if head.status >= 300:
-            raise _Again(Retry.FAILED, f"status {head.status}", ran=True)
+            raise TryFailedError(Retry.FAILED, f"status {head.status}", ran=True)
         if head.header(names.signature) is None:
-            raise _Again(Retry.FAILED, "no signature", ran=True)
+            raise TryFailedError(Retry.FAILED, "no signature", ran=True)
         if head.header(b"content-encoding") is not None:
-            raise _Again(Retry.FAILED, "the body is encoded", ran=True)
+            raise TryFailedError(Retry.FAILED, "the body is encoded", ran=True)
 
     def _blame(self, head: ResponseHead, path: Path) -> None:
-        at_fault = _text(head.header(self._tools.dialect.headers.at_fault) or b"")
+        at_fault = id_text(head.header(self._tools.dialect.headers.at_fault) or b"")
         for part in path.parts:
             host, port = part.endpoint.address
             if at_fault != f"{host}:{port}":
@@ -253,7 +243,7 @@
                 took = time.monotonic() - started
                 self._tools.directory.succeeded(path.first.id, took)
                 self._tools.metrics.first_event.record(took)
-            self._note_event()
+            self._times.event()
             if not self._reply.started:
                 await self._reply.stream(head)
             await self._reply.chunk(b"".join(event.text for event in events))
@@ -261,26 +251,18 @@
             deadline = self._pause_deadline()
             running.heard(self._quiet_pause_s())
         if splitter.partial or not self._reply.started:
-            raise _Again(Retry.BROKEN, "ended inside an event", ran=True)
+            raise TryFailedError(Retry.BROKEN, "ended inside an event", ran=True)
         await self._reply.end()
 
-    def _note_event(self) -> None:
-        now = time.monotonic()
-        if not self._first_at:
-            self._first_at = now
-        elif now - self._event_at > self._pause[0]:
-            self._pause = (now - self._event_at, now - self._began)
-        self._event_at = now
-
     def _note_end(self, path: Path) -> None:
-        longest_s, after_s = self._pause
-        self._tools.metrics.longest_pause.record(longest_s)
+        times = self._times
+        self._tools.metrics.longest_pause.record(times.pause_s)
         logger.info(
             "stream ended",
-            request=_text(self._work.id),
-            first_ms=round((self._first_at - self._began) * 1000),
-            pause_ms=round(longest_s * 1000),
-            pause_after_ms=round(after_s * 1000),
+            request=id_text(self._work.id),
+            first_ms=round(times.first_s * 1000),
+            pause_ms=round(times.pause_s * 1000),
+            pause_after_ms=round(times.pause_after_s * 1000),
             tries=self._sent + 1,
             path=[part.endpoint.id for part in path.parts],
         )
@@ -335,10 +317,10 @@
         self._tools.metrics.refusal(refusal)
         logger.warning(
             "stream given up",
-            request=_text(work.id),
+            request=id_text(work.id),
             route=work.route.name,
             reason=refusal.value,
-            after=_text(self._last_id or b""),
+            after=id_text(self._last_id or b""),
             tries=self._sent,
         )
         if reply.started:
@@ -358,10 +340,6 @@
     return int(value)
 
 
-def _text(value: bytes) -> str:
-    return value.decode("latin-1")
-
-
 __all__ = [
     "StreamRelay",
 ]
--- a/packages/router/src/hemlockhall_router/version/layout.py
+++ b/packages/router/src/hemlockhall_router/version/layout.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hemlockhall_router.version.endpoint import LayerRange
+from hemlockhall_router.version.member import FULL, Member
+from hemlockhall_router.version.repair import fill_by_neighbours
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -22,27 +23,10 @@
 # Memory of a group against that of one copy below which the group does not
 # stand alone: what is left over holds requests.
 GROUP_ROOM = 1.2
-# Part of an endpoint's memory that layers may fill when a neighbour's layers
-# have to be taken over; the rest holds a few requests.
-FULL = 0.8
 # Filling from which an endpoint gives up layers that another one holds too.
 TIGHT = 0.65
 
 
-@dataclass(slots=True)
-class Member:
-    """An endpoint of a group: what it may hold, and what it holds."""
-
-    endpoint: Endpoint
-    capacity: int
-    held: LayerRange | None
-
-    @property
-    def filling(self) -> float:
-        """Part of the memory that layers fill."""
-        return self.held.size / self.capacity if self.held else 0.0
-
-
 def plan(
     model: Model, endpoints: Iterable[Endpoint], held: dict[str, LayerRange | None]
 ) -> dict[str, LayerRange]:
@@ -129,7 +113,7 @@
         return _changes(share_out(model, group), group)
     for hole in missing:
         found = _fill_by_empty(model, hole, empty, group)
-        found = found or _fill_by_neighbours(model, hole, holding)
+        found = found or fill_by_neighbours(model, hole, holding)
         if not found and rebuild:
             return _changes(share_out(model, group), group)
         orders.update(found)
@@ -226,110 +210,6 @@
     return orders if first >= hole.end else {}
 
 
-def _fill_by_neighbours(
-    model: Model, hole: LayerRange, holding: list[Member]
-) -> dict[str, LayerRange]:
-    """Let the nearest holders on both sides take a hole, each a little.
-
-    Holders next to the hole move towards it, and those behind them follow, so
-    that few layers are loaded and the rest of the copy stays where it is.
-    Sharing all layers out anew would take the whole copy out of service.
-    """
-    left: list[Member] = []
-    right: list[Member] = []
-    first, end = hole.first, hole.end
-    while sum(_room(member) for member in (*left, *right)) < hole.size:
-        before = _ending(holding, first, left + right) if first > 0 else None
-        after = _starting(holding, end, left + right) if end < model.layers else None
-        if before is None and after is None:
-            return {}
-        nearer_left = len(left) <= len(right)
-        if before is not None and (nearer_left or after is None):
-            assert before.held is not None
-            left.insert(0, before)
-            first = before.held.first
-        elif after is not None:
-            assert after.held is not None
-            right.append(after)
-            end = after.held.end
-    return _spread(LayerRange(first, end), hole, left, right)
-
-
-def _ending(holding: list[Member], layer: int, taken: list[Member]) -> Member | None:
-    """Return the roomiest holder of the layers right before ``layer``."""
-    found = []
-    for member in holding:
-        held = member.held
-        if held and held.first < layer <= held.end and member not in taken:
-            found.append(member)
-    return max(found, key=_room, default=None)
-
-
-def _starting(holding: list[Member], layer: int, taken: list[Member]) -> Member | None:
-    """Return the roomiest holder of the layers from ``layer`` on."""
-    found = []
-    for member in holding:
-        held = member.held
-        if held and held.first <= layer < held.end and member not in taken:
-            found.append(member)
-    return max(found, key=_room, default=None)
-
-
-def _spread(
-    window: LayerRange, hole: LayerRange, left: list[Member], right: list[Member]
-) -> dict[str, LayerRange]:
-    """Share a window out in order; each takes its part of the hole by its room."""
-    chain = left + right
-    room = sum(_room(member) for member in chain)
-    orders: dict[str, LayerRange] = {}
-    first = window.first
-    passed = 0
-    given = 0
-    old = window.first
-    for member in chain:
-        assert member.held is not None
-        if member in right and old < hole.end:
-            old = hole.end
-        size = _own_size(member, old, left, right, hole)
-        old += size
-        passed += _room(member)
-        take = round(hole.size * passed / room) - given
-        given += take
-        layers = LayerRange(first, first + size + take)
-        first = layers.end
-        if layers != member.held and layers.size > 0:
-            orders[member.endpoint.id] = layers
-    return orders
-
-
-def _own_size(
-    member: Member,
-    start: int,
-    left: list[Member],
-    right: list[Member],
-    hole: LayerRange,
-) -> int:
-    """Return how many layers of the window a holder has from ``start`` on."""
-    assert member.held is not None
-    chain = left if member in left else right
-    index = chain.index(member)
-    end = member.held.end
-    if member in left:
-        end = hole.first
-        if index + 1 < len(chain):
-            following = chain[index + 1].held
-            assert following is not None
-            end = following.first
-    return max(0, end - start)
-
-
-def _room(member: Member) -> int:
-    """Return how many layers a holder can take over."""
-    if member.held is None:
-        return 0
-    return max(0, int(member.capacity * FULL) - member.held.size)
-
-
 def _relieve(
     model: Model, member: Member, group: list[Member]
 ) -> dict[str, LayerRange]:
@@ -368,7 +248,6 @@
 
 
 __all__ = [
-    "Member",
     "groups",
     "holes",
     "plan",
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/version/repair.py
@@ -0,0 +1,117 @@
+"""Filling of a hole in a copy by those next to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hemlockhall_router.version.endpoint import LayerRange
+
+if TYPE_CHECKING:
+    from hemlockhall_router.version.member import Member
+    from hemlockhall_router.version.routing import Model
+
+
+def fill_by_neighbours(
+    model: Model, hole: LayerRange, holding: list[Member]
+) -> dict[str, LayerRange]:
+    """Let the nearest holders on both sides take a hole, each a little.
+
+    Holders next to the hole move towards it, and those behind them follow, so
+    that few layers are loaded and the rest of the copy stays where it is.
+    Sharing all layers out anew would take the whole copy out of service.
+    """
+    left: list[Member] = []
+    right: list[Member] = []
+    first, end = hole.first, hole.end
+    while sum(member.room for member in (*left, *right)) < hole.size:
+        before = _ending(holding, first, left + right) if first > 0 else None
+        after = _starting(holding, end, left + right) if end < model.layers else None
+        if before is None and after is None:
+            return {}
+        nearer_left = len(left) <= len(right)
+        if before is not None and (nearer_left or after is None):
+            assert before.held is not None
+            left.insert(0, before)
+            first = before.held.first
+        elif after is not None:
+            assert after.held is not None
+            right.append(after)
+            end = after.held.end
+    return _spread(LayerRange(first, end), hole, left, right)
+
+
+def _ending(holding: list[Member], layer: int, taken: list[Member]) -> Member | None:
+    """Return the roomiest holder of the layers right before ``layer``."""
+    found = []
+    for member in holding:
+        held = member.held
+        if held and held.first < layer <= held.end and member not in taken:
+            found.append(member)
+    return max(found, key=_by_room, default=None)
+
+
+def _starting(holding: list[Member], layer: int, taken: list[Member]) -> Member | None:
+    """Return the roomiest holder of the layers from ``layer`` on."""
+    found = []
+    for member in holding:
+        held = member.held
+        if held and held.first <= layer < held.end and member not in taken:
+            found.append(member)
+    return max(found, key=_by_room, default=None)
+
+
+def _spread(
+    window: LayerRange, hole: LayerRange, left: list[Member], right: list[Member]
+) -> dict[str, LayerRange]:
+    """Share a window out in order; each takes its part of the hole by its room."""
+    chain = left + right
+    room = sum(member.room for member in chain)
+    orders: dict[str, LayerRange] = {}
+    first = window.first
+    passed = 0
+    given = 0
+    old = window.first
+    for member in chain:
+        assert member.held is not None
+        if member in right and old < hole.end:
+            old = hole.end
+        size = _own_size(member, old, left, right, hole)
+        old += size
+        passed += member.room
+        take = round(hole.size * passed / room) - given
+        given += take
+        layers = LayerRange(first, first + size + take)
+        first = layers.end
+        if layers != member.held and layers.size > 0:
+            orders[member.endpoint.id] = layers
+    return orders
+
+
+def _own_size(
+    member: Member,
+    start: int,
+    left: list[Member],
+    right: list[Member],
+    hole: LayerRange,
+) -> int:
+    """Return how many layers of the window a holder has from ``start`` on."""
+    assert member.held is not None
+    chain = left if member in left else right
+    index = chain.index(member)
+    end = member.held.end
+    if member in left:
+        end = hole.first
+        if index + 1 < len(chain):
+            following = chain[index + 1].held
+            assert following is not None
+            end = following.first
+    return max(0, end - start)
+
+
+def _by_room(member: Member) -> int:
+    return member.room
+
+
+__all__ = [
+    "fill_by_neighbours",
+]
--- a/tests/router/test_layout.py
+++ b/tests/router/test_layout.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from hemlockhall_router.version.endpoint import Endpoint, LayerRange
-from hemlockhall_router.version.layout import Member, holes, plan
+from hemlockhall_router.version.layout import holes, plan
+from hemlockhall_router.version.member import Member
 from hemlockhall_router.version.path import find_path
 from hemlockhall_router.version.routing import Accelerator, Model
 
--- a/tests/router/test_planner.py
+++ b/tests/router/test_planner.py
@@ -5,7 +5,8 @@
 import pytest
 
 from hemlockhall_router.version.endpoint import Endpoint, LayerRange
-from hemlockhall_router.version.layout import Member, holes
+from hemlockhall_router.version.layout import holes
+from hemlockhall_router.version.member import Member
 from hemlockhall_standins.router.dialect import RouteRow, model
 from hemlockhall_standins.router.endpoint import Arrival, ScriptedEndpoint
 from hemlockhall_standins.router.hall import Hall, hall
