Count failures that come together once; leave full endpoints out briefly

Cause: after a loss of power all callers came back at once. No path was left.

Ruled out: configuration, endpoints and lease (in force 0.2 to 0.4 s after the start).

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -22,6 +22,9 @@
 # row: long enough for a restart of a process, short enough to try again soon.
 AVOID_S = 0.5
 AVOID_MAX_S = 4.0
+# Seconds an endpoint that has no room is left out: about as long as the next
+# request there takes to end.
+BUSY_S = 0.2
 # Seconds after which the streams on a leaving endpoint go on elsewhere. Most
 # have ended by then; the endpoint serves for 2 s at least, and a stream that it
 # breaks off is noticed later than one that is moved.
@@ -203,7 +206,8 @@
     def failed(self, key: str, cause: str) -> None:
         """Leave an endpoint out for a while."""
         held = self.held.get(key)
-        if held is None:
+        # Requests that were there together fail together; that is one failure.
+        if held is None or time.monotonic() < held.avoid_deadline:
             return
         held.failures += 1
         pause = min(AVOID_MAX_S, AVOID_S * 2 ** min(held.failures - 1, 8))
@@ -213,6 +217,15 @@
         )
         self._bump()
 
+    def busy(self, key: str) -> None:
+        """Leave an endpoint out that has no room; it did not fail."""
+        held = self.held.get(key)
+        if held is None or time.monotonic() < held.avoid_deadline:
+            return
+        held.avoid_deadline = time.monotonic() + BUSY_S
+        logger.info("endpoint without room", endpoint=key, load=held.load)
+        self._bump()
+
     def succeeded(self, key: str, latency_s: float) -> None:
         """Note an answer, and the time to its first byte."""
         held = self.held.get(key)
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -47,6 +47,9 @@
 # failed a moment ago is often back by then.
 HOLD_PART = 0.12
 HOLD_POLL_S = 0.02
+# Status with which an endpoint on a path says that it has no room, or is leaving
+# or dead; the questions that follow tell which.
+NO_ROOM = 503
 # Tries for one request; it bounds the work that it makes.
 MAX_TRIES = 12
 
@@ -215,7 +218,10 @@
             if at_fault != f"{host}:{port}":
                 continue
             self._avoid.add(part.endpoint.id)
-            self._tools.directory.failed(part.endpoint.id, f"status {head.status}")
+            if head.status == NO_ROOM:
+                self._tools.directory.busy(part.endpoint.id)
+            else:
+                self._tools.directory.failed(part.endpoint.id, f"status {head.status}")
             self._tools.prober.doubt([part.endpoint.id])
             return
         self._avoid.add(path.first.id)
