Let a stream stay where its route allows no other endpoint

Ruled out: one refusal alone (a test of it passes on the code before and is kept); the budget of repeats.

--- a/packages/router/src/hemlockhall_router/request/running.py
+++ b/packages/router/src/hemlockhall_router/request/running.py
@@ -27,7 +27,8 @@
     quiet_s : float
         Seconds of silence from which its endpoints are in doubt.
     allow : callable
-        Takes a repeat from the budget, or returns False if none is left.
+        Asked before it leaves an endpoint that serves it; takes a repeat from
+        the budget, or returns False if it should stay.
     """
 
     def __init__(
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -92,6 +92,17 @@
     def _allow(self) -> bool:
         return self._tools.budget.allow(self._work.service.name)
 
+    def _may_leave(self, path: Path) -> bool:
+        """Return whether a stream that is served may go on elsewhere.
+
+        Only if its route allows another endpoint, and a repeat is left: else
+        leaving would break off what the endpoint still serves.
+        """
+        used = {*self._ran_at, path.first.id}
+        if len(used) >= self._work.route.max_endpoints:
+            return False
+        return self._allow()
+
     def _continue(self, path: Path, again: TryFailedError) -> bool:
         work = self._work
         self._tools.metrics.retry(again.reason)
@@ -120,7 +131,8 @@
         """
         work, chooser = self._work, self._tools.chooser
         objective = work.route.objective_s or UNSTATED_S
-        deadline = min(work.deadline, time.monotonic() + objective * HOLD_PART)
+        began = time.monotonic()
+        deadline = min(work.deadline, began + objective * HOLD_PART)
         while True:
             starts_at = self._starts_at()
             path = chooser.path(work.service, self._avoid, starts_at)
@@ -128,11 +140,20 @@
                 return path
             if time.monotonic() >= deadline:
                 path = chooser.path(work.service, set(), starts_at)
-                absent_s = chooser.without_path_s(work.service.name)
-                if path is not None or absent_s > RESTORE_S or work.left_s <= 0:
+                if path is not None or work.left_s <= 0 or self._too_long(began):
                     return path
             await anyio.sleep(HOLD_POLL_S)
 
+    def _too_long(self, began: float) -> bool:
+        """Return whether the wait for a path is over.
+
+        A new request does not wait if there has been no path for long. A
+        stream that the caller has a part of does: giving it up loses that.
+        """
+        if self._reply.started:
+            return time.monotonic() - began > RESTORE_S
+        return self._tools.chooser.without_path_s(self._work.service.name) > RESTORE_S
+
     def _starts_at(self) -> frozenset[str] | None:
         """Return where the request may be sent if its route's limit is reached.
 
@@ -156,7 +177,7 @@
             self._avoid.add(path.first.id)
             raise TryFailedError(Retry.NOT_SENT, str(exc), ran=False) from exc
         ids = [part.endpoint.id for part in path.parts]
-        running = Running(ids, self._quiet_first_s(), self._allow)
+        running = Running(ids, self._quiet_first_s(), lambda: self._may_leave(path))
         try:
             with Occupied(tools.directory, ids, running):
                 head = await self._relay(conn, path, running)
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hemlockhall_router.connection.error import BrokenError
+from hemlockhall_router.request.stream import RESTORE_S
 from hemlockhall_standins.router.dialect import RouteRow
 from hemlockhall_standins.router.endpoint import Arrival, event_text
 from hemlockhall_standins.router.hall import caller_text, hall
@@ -142,6 +143,33 @@
             assert sum(len(endpoint.arrivals) for endpoint in pool) == EVENTS
             assert sum(1 for endpoint in pool if endpoint.arrivals) == 2
 
+    async def test_a_stream_that_may_only_go_back_survives_one_refusal(self) -> None:
+        """The route allows one endpoint. It breaks the stream off after two
+        events, refuses the first resumption for want of room, and has room a
+        moment later. The caller's connection was cut beside events that the
+        endpoint could have gone on with."""
+
+        async def cut(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await arrival.event(2)
+            await anyio.sleep(0.05)
+            await arrival.reset()
+
+        async def refuse(arrival: Arrival) -> None:
+            port = arrival.endpoint.port
+            await arrival.refuse(503, f"at-fault: 127.0.0.1:{port}\r\n")
+
+        scripts = iter((cut, refuse, write))
+
+        async def script(arrival: Arrival) -> None:
+            await next(scripts)(arrival)
+
+        routes = [RouteRow("/draft/", "stream", "pool", tries=1, resumable=True)]
+        async with hall(routes) as h:
+            await h.endpoint("p1", script, **ALL)
+            assert (await h.ask("/draft/x", method="POST")).body == WHOLE
+
     async def test_a_stream_that_may_not_be_resumed_does_not_look_complete(
         self,
     ) -> None:
@@ -228,6 +256,80 @@
                 go_on.set()
             assert bodies == [WHOLE]
 
+    async def test_a_stream_stays_where_its_route_allows_no_other(self) -> None:
+        """An endpoint leaves while a stream runs there, and the route allows
+        one endpoint. Moving the stream broke it off: it could go back to the
+        leaving endpoint only, which takes no new requests."""
+        go_on = anyio.Event()
+
+        async def slow(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await go_on.wait()
+            for number in range(2, EVENTS + 1):
+                await arrival.event(number)
+            await arrival.end()
+
+        route = RouteRow("/draft/", "stream", "pool", tries=1, resumable=True)
+        route.pause_s = 60.0
+        async with hall([route]) as h:
+            pool = await h.endpoint("p1", slow, **ALL)
+            directory = h.routers[0].directory
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                held = directory.held["p1"]
+                await h.until(lambda: held.running)
+                other = await h.endpoint("p2", write, **ALL)
+                h.enter(pool, "pool", draining=True, layers=(0, 8), accelerator="big")
+                await h.until(lambda: held.leave_deadline is not None)
+                held.leave_deadline = 0.0
+                directory.expire()
+                await anyio.sleep(0.1)
+                go_on.set()
+            assert bodies == [WHOLE]
+            assert not other.arrivals
+
+    async def test_a_stream_that_broke_off_waits_for_a_path(self) -> None:
+        """For longer than new requests would wait there has been no path, and
+        then the endpoint of a running stream breaks it off. A path is back a
+        moment later; giving the stream up at once lost what the caller had."""
+        broken = anyio.Event()
+
+        async def cut(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await broken.wait()
+            await arrival.reset()
+
+        scripts = iter((cut, write))
+
+        async def script(arrival: Arrival) -> None:
+            await next(scripts)(arrival)
+
+        route = RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)
+        async with hall([route]) as h:
+            await h.endpoint("p1", script, **ALL)
+            held = h.routers[0].directory.held["p1"]
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await h.until(lambda: held.running)
+                held.avoid_deadline = float("inf")
+                await anyio.sleep(RESTORE_S + 0.2)
+                broken.set()
+                await anyio.sleep(0.3)
+                held.avoid_deadline = 0.0
+            assert bodies == [WHOLE]
+
 
 class TestLeaving:
     async def test_a_stream_outlives_sigterm(self) -> None:
