Leave a serving endpoint only after another took the stream

Cause: when a receiving endpoint left, each host broke off all its streams there at once, 1.4 s later. They arrived together at the other copies, whose memory was full, were refused, and each refusal took a repeat from the budget.

Ruled out: the configuration change beside it (the streams broke off at their host's own move, 0.4 s after it), a silent endpoint (it served on), the route's limit of endpoints (mended before; these had one left).

Change: the new run is begun while the old one is kept, unread; it takes over when its answer has begun, else the old one goes on.

Two tests; the first failed before with the caller's cut.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -4,6 +4,7 @@
 
 import time
 from dataclasses import dataclass, field, replace
+from math import ceil
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -25,10 +26,16 @@
 # Seconds an endpoint that has no room is left out: about as long as the next
 # request there takes to end.
 BUSY_S = 0.2
-# Seconds after which the streams on a leaving endpoint go on elsewhere. Most
-# have ended by then; the endpoint serves for 2 s at least, and a stream that it
-# breaks off is noticed later than one that is moved.
-MOVE_S = 1.4
+# Seconds after which the streams on a leaving endpoint go on elsewhere. Half of
+# them have ended by then; the endpoint serves for 2 s at least, and a stream
+# that it breaks off is noticed later than one that is moved.
+MOVE_S = 0.8
+# Seconds between two groups of streams that are moved, and the part of the
+# streams in each: all at once find the memory of the other endpoints full.
+MOVE_AGAIN_S = 0.25
+MOVE_PART = 0.35
+# Seconds before a stream that found no room elsewhere is asked again.
+ASK_AGAIN_S = 0.7
 # Weight of the newest value in moving averages.
 SMOOTHING = 0.2
 # Change of an endpoint's pace that is acted on.
@@ -177,8 +184,8 @@
                 self._bump()
         for held in (*self.held.values(), *self._departed):
             if held.leave_deadline is not None and now >= held.leave_deadline:
-                held.leave_deadline = now + MOVE_S
-                _move(held, "endpoint leaves", served=True)
+                held.leave_deadline = now + MOVE_AGAIN_S
+                _move_some(held, "endpoint leaves", now)
         self._departed = [held for held in self._departed if held.running]
 
     def _bump(self) -> None:
@@ -282,9 +289,20 @@
             held.elsewhere = counts.get(key, 0)
 
 
-def _move(held: Held, cause: str, *, served: bool = False) -> None:
+def _move(held: Held, cause: str) -> None:
     for running in list(held.running):
-        running.move(cause, served=served)
+        running.move(cause)
+
+
+def _move_some(held: Held, cause: str, now: float) -> None:
+    """Ask some of the streams that an endpoint still serves to go on elsewhere."""
+    waiting = []
+    for running in held.running:
+        if now - running.asked_at > ASK_AGAIN_S:
+            waiting.append(running)
+    most = ceil(len(held.running) * MOVE_PART)
+    for running in waiting[:most]:
+        running.move(cause, served=True)
 
 
 def _span(endpoint: Endpoint) -> str:
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -0,0 +1,197 @@
+"""One run of a stream at the endpoints of a path."""
+
+from __future__ import annotations
+
+import time
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from hemlockhall_router.connection.error import NotSentError, WireError
+from hemlockhall_router.request.events import Splitter
+from hemlockhall_router.request.failure import TryFailedError, id_text
+from hemlockhall_router.request.plain import CONNECT_S
+from hemlockhall_router.request.reason import Retry
+from hemlockhall_router.request.running import Running
+from hemlockhall_router.request.work import Occupied, Tools, Work, outgoing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hemlockhall_router.connection.client import ClientConnection
+    from hemlockhall_router.connection.message import ResponseHead
+    from hemlockhall_router.request.events import Event
+    from hemlockhall_router.request.patience import Patience
+    from hemlockhall_router.version.path import Path
+
+# Status with which an endpoint on a path says that it has no room, or is leaving
+# or dead; the questions that follow tell which.
+NO_ROOM = 503
+
+
+class Attempt:
+    """A run of a stream, from its request to its last event.
+
+    Whoever makes one closes it; the endpoints stop work on it then.
+    """
+
+    def __init__(
+        self, work: Work, tools: Tools, path: Path, patience: Patience
+    ) -> None:
+        self._work = work
+        self._tools = tools
+        self._patience = patience
+        self._splitter = Splitter()
+        self._conn: ClientConnection | None = None
+        self._began = 0.0
+        self.path = path
+        self.head: ResponseHead | None = None
+        self.running = Running(self.ids, patience.quiet_first_s)
+        self._occupied = Occupied(tools.directory, self.ids, self.running)
+
+    @property
+    def ids(self) -> list[str]:
+        """The endpoints of its path."""
+        return [part.endpoint.id for part in self.path.parts]
+
+    async def begin(self, resume_after: bytes | None) -> None:
+        """Send the request, and return when its answer has begun.
+
+        Raises
+        ------
+        TryFailedError
+            If the endpoint cannot be reached, refuses, or fails.
+        MovedError
+            If the process wants the stream elsewhere meanwhile.
+        """
+        await self._connect()
+        self._occupied.enter()
+        text = outgoing(
+            self._work, self._tools.dialect, self.path.first, self.path, resume_after
+        )
+        self._began = time.monotonic()
+        with self._faults():
+            assert self._conn is not None
+            await self._conn.send(text, self._work.deadline)
+            head = await self._own_head()
+        self._judge(head)
+        self.head = head
+
+    async def events(self) -> list[Event] | None:
+        """Return the next whole events, or None when the stream is complete.
+
+        Raises
+        ------
+        TryFailedError
+            If the stream broke off.
+        MovedError
+            If the process wants the stream elsewhere.
+        """
+        assert self._conn is not None
+        patience = self._patience
+        if self.running.began:
+            deadline = patience.pause_deadline()
+        else:
+            deadline = patience.first_deadline()
+        with self._faults():
+            data = await self.running.wait(self._conn.chunk, deadline)
+        if data is not None:
+            return self._splitter.feed(data)
+        if self._splitter.partial:
+            raise TryFailedError(Retry.BROKEN, "ended inside an event", ran=True)
+        return None
+
+    def heard(self) -> None:
+        """Note that an event came that the caller did not have."""
+        if not self.running.began:
+            took = time.monotonic() - self._began
+            self._tools.directory.succeeded(self.path.first.id, took)
+            self._tools.metrics.first_event.record(took)
+        self.running.heard(self._patience.quiet_pause_s)
+
+    async def keep(self) -> None:
+        """Give the connection back after a complete answer."""
+        assert self._conn is not None
+        assert self.head is not None
+        conn, self._conn = self._conn, None
+        await self._tools.pool.give(self.path.first.address, conn, self.head)
+
+    async def close(self) -> None:
+        """End the run, wherever it is."""
+        self._occupied.exit()
+        if self._conn is not None:
+            await self._conn.close()
+
+    async def _connect(self) -> None:
+        first = self.path.first
+        deadline = min(self._work.deadline, time.monotonic() + CONNECT_S)
+        try:
+            self._conn = await self._tools.pool.connect(first.address, deadline)
+        except NotSentError as exc:
+            self._tools.directory.failed(first.id, str(exc))
+            raise TryFailedError(
+                Retry.NOT_SENT, str(exc), ran=False, suspects=[first.id]
+            ) from exc
+
+    async def _own_head(self) -> ResponseHead:
+        assert self._conn is not None
+        name = self._tools.dialect.headers.request_id
+        while True:
+            deadline = self._patience.first_deadline()
+            head = await self.running.wait(self._conn.head, deadline)
+            echoed = head.header(name)
+            if echoed is None or echoed == self._work.id:
+                return head
+            # A late answer to an earlier request of this connection.
+            while await self._conn.chunk(deadline) is not None:
+                continue
+
+    @contextmanager
+    def _faults(self) -> Iterator[None]:
+        try:
+            yield
+        except WireError as exc:
+            self._tools.prober.doubt(self.ids)
+            self._patience.grow()
+            silent = "in time" in str(exc)
+            raise TryFailedError(
+                Retry.SILENT if silent else Retry.BROKEN,
+                str(exc),
+                ran=True,
+                suspects=self.ids if silent else self.ids[:1],
+            ) from exc
+
+    def _judge(self, head: ResponseHead) -> None:
+        """Raise ``TryFailedError`` unless the answer is a stream to relay."""
+        names = self._tools.dialect.headers
+        not_run = head.header(names.not_run) is not None or head.status == 421
+        if not_run:
+            suspects = [self._blame(head)]
+            cause = f"status {head.status}"
+            raise TryFailedError(Retry.REJECTED, cause, ran=False, suspects=suspects)
+        if head.status >= 300:
+            raise TryFailedError(Retry.FAILED, f"status {head.status}", ran=True)
+        if head.header(names.signature) is None:
+            raise TryFailedError(Retry.FAILED, "no signature", ran=True)
+        if head.header(b"content-encoding") is not None:
+            raise TryFailedError(Retry.FAILED, "the body is encoded", ran=True)
+
+    def _blame(self, head: ResponseHead) -> str:
+        """Note which endpoint of the path refused, and return its id."""
+        at_fault = id_text(head.header(self._tools.dialect.headers.at_fault) or b"")
+        for part in self.path.parts:
+            host, port = part.endpoint.address
+            if at_fault != f"{host}:{port}":
+                continue
+            key = part.endpoint.id
+            if head.status == NO_ROOM:
+                self._tools.directory.busy(key)
+            else:
+                self._tools.directory.failed(key, f"status {head.status}")
+            self._tools.prober.doubt([key])
+            return key
+        return self.path.first.id
+
+
+__all__ = [
+    "Attempt",
+]
--- a/packages/router/src/hemlockhall_router/request/failure.py
+++ b/packages/router/src/hemlockhall_router/request/failure.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hemlockhall_router.connection.message import Response
     from hemlockhall_router.request.reason import Retry
 
@@ -13,16 +15,24 @@
     """One try failed; another may follow.
 
     ``ran`` tells whether it may have run; ``response`` is the endpoint's own
-    answer if it failed with one.
+    answer if it failed with one; ``suspects`` are the ids of the endpoints
+    that this request had better not use again.
     """
 
     def __init__(
-        self, reason: Retry, cause: str, *, ran: bool, response: Response | None = None
+        self,
+        reason: Retry,
+        cause: str,
+        *,
+        ran: bool,
+        response: Response | None = None,
+        suspects: Iterable[str] = (),
     ) -> None:
         super().__init__(cause)
         self.reason = reason
         self.ran = ran
         self.response = response
+        self.suspects = frozenset(suspects)
 
 
 def id_text(value: bytes) -> str:
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -30,6 +30,7 @@
     FAILED = "failed"
     SILENT = "silent"
     MOVED = "moved"
+    STAYED = "stayed"
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/request/running.py
+++ b/packages/router/src/hemlockhall_router/request/running.py
@@ -14,11 +14,19 @@
 
 
 class MovedError(Exception):
-    """The process asked for this stream to go on elsewhere."""
+    """The process asked for this stream to go on elsewhere.
+
+    ``served`` tells whether its endpoints still serve it: then it is not lost
+    by staying.
+    """
+
+    def __init__(self, cause: str, *, served: bool) -> None:
+        super().__init__(cause)
+        self.served = served
 
 
 class Running:
-    """One try of a stream.
+    """One run of a stream.
 
     Parameters
     ----------
@@ -26,21 +34,16 @@
         Endpoints on its path.
     quiet_s : float
         Seconds of silence from which its endpoints are in doubt.
-    allow : callable
-        Asked before it leaves an endpoint that serves it; takes a repeat from
-        the budget, or returns False if it should stay.
     """
 
-    def __init__(
-        self, ids: list[str], quiet_s: float, allow: Callable[[], bool]
-    ) -> None:
+    def __init__(self, ids: list[str], quiet_s: float) -> None:
         self.ids = ids
         self.quiet_s = quiet_s
         self.heard_at = time.monotonic()
         self.doubted = False
-        self.paid = False
-        self._allow = allow
-        self._cause: str | None = None
+        self.began = False
+        self.asked_at = float("-inf")
+        self._moved: MovedError | None = None
         self._scope: anyio.CancelScope | None = None
 
     def heard(self, quiet_s: float) -> None:
@@ -48,6 +51,7 @@
         self.heard_at = time.monotonic()
         self.quiet_s = quiet_s
         self.doubted = False
+        self.began = True
 
     def silent(self, now: float, factor: float) -> bool:
         """Return whether it has been silent for too long, and not been doubted."""
@@ -56,16 +60,15 @@
     def move(self, cause: str, *, served: bool = False) -> None:
         """Let it go on elsewhere.
 
-        While it is still ``served`` it stays if no repeat is left: it would be
-        broken off here and could not be sent anywhere else.
+        One that is still ``served`` is asked only once the caller has an event:
+        before that it has nothing to lose where it is.
         """
-        if self._cause is not None:
+        if served and not self.began:
             return
-        if served:
-            self.paid = self._allow()
-            if not self.paid:
-                return
-        self._cause = cause
+        if self._moved is not None and not self._moved.served:
+            return
+        self.asked_at = time.monotonic()
+        self._moved = MovedError(cause, served=served)
         if self._scope is not None:
             self._scope.cancel()
 
@@ -75,8 +78,7 @@
         Only reads are given up: a write to the caller that was given up
         halfway would leave it open whether the caller has the event.
         """
-        if self._cause is not None:
-            raise MovedError(self._cause)
+        self._raise_moved()
         with anyio.CancelScope() as scope:
             self._scope = scope
             try:
@@ -84,9 +86,17 @@
             finally:
                 self._scope = None
         if scope.cancelled_caught:
-            raise MovedError(self._cause)
+            self._raise_moved()
         return result
 
+    def _raise_moved(self) -> None:
+        moved = self._moved
+        if moved is None:
+            return
+        if moved.served:
+            self._moved = None
+        raise moved
+
 
 __all__ = [
     "MovedError",
--- a/packages/router/src/hemlockhall_router/request/work.py
+++ b/packages/router/src/hemlockhall_router/request/work.py
@@ -111,21 +111,28 @@
     ) -> None:
         self._directory = directory
         self._running = running
+        self._entered = False
         self._held: list[Held] = []
         for key in ids:
             held = directory.held.get(key)
             if held is not None:
                 self._held.append(held)
 
-    def __enter__(self) -> None:
+    def enter(self) -> None:
+        """Count the request from now on."""
         for held in self._held:
             held.in_flight += 1
             if self._running is not None:
                 held.running.add(self._running)
         if self._running is not None:
             self._directory.running.add(self._running)
+        self._entered = True
 
-    def __exit__(self, *_: object) -> None:
+    def exit(self) -> None:
+        """Count it no more; once is enough."""
+        if not self._entered:
+            return
+        self._entered = False
         for held in self._held:
             held.in_flight -= 1
             if self._running is not None:
@@ -133,6 +140,12 @@
         if self._running is not None:
             self._directory.running.discard(self._running)
 
+    def __enter__(self) -> None:
+        self.enter()
+
+    def __exit__(self, *_: object) -> None:
+        self.exit()
+
 
 __all__ = [
     "Occupied",
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import anyio
 import pytest
@@ -10,8 +12,13 @@
 from hemlockhall_router.connection.error import BrokenError
 from hemlockhall_router.request.stream import RESTORE_S
 from hemlockhall_standins.router.dialect import RouteRow
-from hemlockhall_standins.router.endpoint import Arrival, event_text
-from hemlockhall_standins.router.hall import caller_text, hall
+from hemlockhall_standins.router.endpoint import (
+    Arrival,
+    Script,
+    ScriptedEndpoint,
+    event_text,
+)
+from hemlockhall_standins.router.hall import WAIT_S, caller_text, hall
 
 pytestmark = pytest.mark.anyio
 
@@ -35,6 +42,36 @@
     await arrival.end()
 
 
+@asynccontextmanager
+async def leaving_endpoint(
+    script: Script, other_script: Script
+) -> AsyncIterator[tuple[list[bytes], ScriptedEndpoint, ScriptedEndpoint]]:
+    """Let a stream run at one endpoint, add another, and let the first leave.
+
+    Yields the callers' answers, the other endpoint and the first one.
+    """
+    routes = [RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)]
+    async with hall(routes) as h:
+        first = await h.endpoint("p1", script, **ALL)
+        directory = h.routers[0].directory
+        bodies: list[bytes] = []
+
+        async def ask() -> None:
+            bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            held = directory.held["p1"]
+            await h.until(lambda: held.running)
+            await h.until(lambda: all(run.began for run in held.running))
+            other = await h.endpoint("p2", other_script, **ALL)
+            h.enter(first, "pool", draining=True, layers=(0, 8), accelerator="big")
+            await h.until(lambda: held.leave_deadline is not None)
+            held.leave_deadline = 0.0
+            directory.expire()
+            yield bodies, other, first
+
+
 class TestWholeStreams:
     async def test_a_stream_arrives_as_sent_with_its_path(self) -> None:
         async with hall(ROUTES) as h:
@@ -331,6 +368,57 @@
             assert bodies == [WHOLE]
 
 
+class TestHandover:
+    async def test_a_stream_stays_where_it_is_served_if_the_next_refuses(self) -> None:
+        """An endpoint leaves while a stream runs there; the other one has no
+        room. The caller's connection was cut beside events that the leaving
+        endpoint still sent: all streams there were broken off at once, and
+        those that found no room elsewhere had lost their place."""
+        go_on = anyio.Event()
+
+        async def slow(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await go_on.wait()
+            for number in range(2, EVENTS + 1):
+                await arrival.event(number)
+            await arrival.end()
+
+        async def refuse(arrival: Arrival) -> None:
+            port = arrival.endpoint.port
+            await arrival.refuse(503, f"at-fault: 127.0.0.1:{port}\r\n")
+
+        async with leaving_endpoint(slow, refuse) as (bodies, other, _):
+            with anyio.fail_after(WAIT_S):
+                while not other.arrivals:
+                    await anyio.sleep(0.005)
+            await anyio.sleep(0.1)
+            go_on.set()
+        assert bodies == [WHOLE]
+
+    async def test_the_first_endpoint_is_left_when_the_next_has_begun(self) -> None:
+        """The same, with room at the other endpoint: the stream goes on there
+        after the last event delivered, and the first connection is closed so
+        that the leaving endpoint stops its work."""
+
+        async def slow(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await arrival.reader.watch()
+            arrival.ended = True
+            arrival.endpoint.left += 1
+
+        async with leaving_endpoint(slow, write) as (bodies, other, first):
+            with anyio.fail_after(WAIT_S):
+                while not bodies:
+                    await anyio.sleep(0.005)
+            assert other.arrivals[0].header("resume-after") == "1"
+            with anyio.fail_after(WAIT_S):
+                while not first.left:
+                    await anyio.sleep(0.005)
+        assert bodies == [WHOLE]
+
+
 class TestLeaving:
     async def test_a_stream_outlives_sigterm(self) -> None:
         """A stream is under way when the host is told to end: the balancer is
