Let small endpoints take a hole before large ones

Ruled out: late orders (this one was accepted at once).

Change: empty members, then the smallest ones, as many as the hole needs; they share it.

--- a/packages/router/src/hemlockhall_router/version/repair.py
+++ b/packages/router/src/hemlockhall_router/version/repair.py
@@ -43,40 +43,51 @@
 ) -> dict[str, LayerRange]:
     """Let members take a hole that hold nothing, or nothing but what others do.
 
-    They load just the hole, which is quickest, and are grown afterwards.
+    They load just the hole, which is quickest, and are grown afterwards. A
+    member that gives up layers does so when the last stream there has ended,
+    so small ones are preferred: they carry less, and several load at once.
     """
+    chosen = _spares(model, hole, group)
+    room = sum(member.most for member in chosen)
+    if room < hole.size:
+        return {}
     orders: dict[str, LayerRange] = {}
+    first = hole.first
+    passed = 0
+    for member in chosen:
+        passed += member.most
+        end = min(hole.first + round(hole.size * passed / room), first + member.most)
+        if end > first:
+            orders[member.endpoint.id] = LayerRange(first, end)
+        first = max(first, end)
+    return orders if first >= hole.end else {}
+
+
+def _spares(model: Model, hole: LayerRange, group: list[Member]) -> list[Member]:
+    """Return the members that take a hole: empty ones, then the smallest."""
     # Layers that somebody still loads do not make their present holder spare.
     coverage = Coverage.kept(model, group)
-    first = hole.first
-    while first < hole.end:
+    chosen: list[Member] = []
+    room = 0
+    while room < hole.size:
         free = []
         for member in group:
-            if member.endpoint.id in orders:
+            if member in chosen:
                 continue
             if member.held is None or coverage.without(member):
                 free.append(member)
         if not free:
-            return {}
-        member = _best(free, hole.end - first)
-        end = min(hole.end, first + member.most)
+            break
+        member = min(free, key=_cost_of_use)
         if member.kept is not None:
             coverage.add(member.kept, -1)
-        orders[member.endpoint.id] = LayerRange(first, end)
-        first = end
-    return orders
-
+        chosen.append(member)
+        room += member.most
+    return chosen
 
-def _best(free: list[Member], size: int) -> Member:
-    """Return the smallest member that takes a size, or the largest there is.
-
-    Empty ones go first: what the others hold protects something.
-    """
 
-    fitting = [member for member in free if member.most >= size]
-    if fitting:
-        return min(fitting, key=lambda member: (member.held is not None, member.most))
-    return max(free, key=lambda member: (member.held is None, member.most))
+def _cost_of_use(member: Member) -> tuple[bool, int, str]:
+    return (member.held is not None, member.capacity, member.endpoint.id)
 
 
 def fill_by_neighbours(
--- a/tests/router/test_layout.py
+++ b/tests/router/test_layout.py
@@ -214,6 +214,21 @@
                         before[layer] -= 1
                         assert before[layer] > 0, (lost, key)
 
+    def test_small_endpoints_take_a_hole_before_large_ones(self) -> None:
+        """An endpoint with eight layers dies. The fastest accelerator's layers
+        are all held by others too, and it alone has room for eight; taken, it
+        waited eight seconds for its streams to end before it loaded, and the
+        copy was away for as long. Two small ones take the hole instead."""
+        found = endpoints()
+        held: dict[str, LayerRange | None] = {}
+        settle(found, held)
+        held = {key: layers for key, layers in held.items() if key != "z03"}
+        found = [e for e in found if e.id != "z03"]
+        orders = plan(MODEL, found, held)
+        kinds = {e.id: e.accelerator for e in found}
+        assert orders
+        assert {kinds[key] for key in orders} <= {"l", "t"}
+
     def test_a_copy_that_is_being_loaded_is_not_counted_as_serving(self) -> None:
         """Many losses leave two data centres with holes that cannot be mended,
         and the first is shared out anew. While it loads, the second must stay
