Go on planning while the store is away

Ruled out: the lease's expiry (its holder planned on while it ran).

Change: leadership.py decides who plans. A leaving host resigns only if another one stays and the store takes the lease back; without an answer of the store for 3 s and without a holder, the first live host by name stands in, with orders that stay conditional. A holder claims its fence until it hears a newer one.

--- a/packages/router/src/hemlockhall_router/process/hosts.py
+++ b/packages/router/src/hemlockhall_router/process/hosts.py
@@ -161,6 +161,17 @@
         fences = [peer.status.fence for peer in self.live() if peer.status]
         return max(fences, default=0)
 
+    def staying(self) -> bool:
+        """Return whether another host is heard that does not leave."""
+        return any(not _leaves(peer) for peer in self.live())
+
+    def first(self) -> bool:
+        """Return whether this host's name is the first of those that stay."""
+        for peer in self.live():
+            if peer.status and not _leaves(peer) and peer.status.name < self._name:
+                return False
+        return True
+
     def _meet(self, address: str) -> None:
         if address == self._address or address in self.peers or not self._group:
             return
@@ -318,6 +329,10 @@
             watch.apply(rows, delta.version)
 
 
+def _leaves(peer: Peer) -> bool:
+    return peer.status is not None and peer.status.leaving
+
+
 def _add(sums: dict[str, int], counts: dict[str, int]) -> None:
     for key, count in counts.items():
         sums[key] = sums.get(key, 0) + count
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/leadership.py
@@ -0,0 +1,84 @@
+"""Which host gives orders to endpoints."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from hemlockhall_router.process.hosts import Hosts
+    from hemlockhall_router.process.lease import Lease
+
+# Seconds between tries to acquire or renew the lease.
+ACQUIRE_S = 1.0
+RENEW_AGAIN_S = 0.2
+# Seconds without an answer of the store, and without a host that holds the lease,
+# from which one host plans without it: as long as the lease lasts.
+STAND_IN_S = 3.0
+
+
+class Leadership:
+    """Whether this host plans.
+
+    The holder of the lease does. While the store is away nobody can acquire
+    it, and a holder that ends or dies then would leave lost layers unreplaced
+    for as long as the outage lasts: the copy they belong to serves nothing. The
+    first of the live hosts by name therefore stands in. Two of them, cut off
+    from each other, could give contrary orders; that costs loads but harms
+    nothing, as each order names the number of orders that it follows, and the
+    endpoint refuses it if that has passed.
+    """
+
+    def __init__(self, lease: Lease, hosts: Hosts) -> None:
+        self._lease = lease
+        self._hosts = hosts
+        self._next_take = 0.0
+        self._standing_in = False
+        self._leaving = False
+
+    async def holds(self) -> bool:
+        """Return whether this host may give orders now."""
+        lease, now = self._lease, time.monotonic()
+        rival = self._hosts.fence()
+        if lease.fence and rival > lease.fence:
+            lease.drop("another host holds a newer one")
+        if lease.fence:
+            if lease.due and now >= self._next_take:
+                self._next_take = now + RENEW_AGAIN_S
+                await lease.take()
+            return lease.fence > 0
+        if rival or (self._leaving and self._hosts.staying()):
+            self._stand_in(False)
+            return False
+        if now >= self._next_take:
+            self._next_take = now + ACQUIRE_S
+            await lease.take()
+        if not lease.fence:
+            self._stand_in(self._should_stand_in(now))
+        return lease.fence > 0 or self._standing_in
+
+    async def resign(self) -> None:
+        """Leave planning to another host; go on while there is none."""
+        self._leaving = True
+        if self._hosts.staying():
+            await self._lease.release()
+
+    def _should_stand_in(self, now: float) -> bool:
+        silent_since = self._lease.silent_since
+        if silent_since is None or now - silent_since < STAND_IN_S:
+            return False
+        return self._hosts.first()
+
+    def _stand_in(self, wanted: bool) -> None:
+        if wanted == self._standing_in:
+            return
+        self._standing_in = wanted
+        event = "planning without the lease" if wanted else "planning left to the lease"
+        logger.warning(event)
+
+
+__all__ = [
+    "Leadership",
+]
--- a/packages/router/src/hemlockhall_router/process/lease.py
+++ b/packages/router/src/hemlockhall_router/process/lease.py
@@ -49,6 +49,8 @@
 
     ``fence`` is the version of the row's first write by this holder; it only
     grows from holder to holder, so endpoints can refuse an older holder.
+    ``silent_since`` is the monotonic time since which the store has not
+    answered, or None.
     """
 
     def __init__(self, store: Store, name: str, boot: str) -> None:
@@ -59,6 +61,7 @@
         self._deadline = 0.0
         self._clock: tuple[float, float] | None = None
         self.fence = 0
+        self.silent_since: float | None = None
 
     @property
     def held(self) -> bool:
@@ -83,26 +86,34 @@
             if not self.fence:
                 await self._look(deadline)
             await self._write(deadline)
+            self.silent_since = None
         except ConditionError as exc:
+            self.silent_since = None
             self._clock = (exc.now_s, boot_time())
             self.drop("another host wrote the row")
         except _HeldElsewhereError:
-            return
+            self.silent_since = None
         except StoreError as exc:
+            if self.silent_since is None:
+                self.silent_since = time.monotonic()
             logger.info("lease not written", cause=str(exc), fence=self.fence)
 
     async def release(self) -> None:
-        """Let another host take over at once."""
+        """Let another host take over at once; keep it if the store is away."""
         if not self.fence:
             return
         deadline = time.monotonic() + CALL_S
         row = LeaseRow(self._name, self._boot, 0.0)
-        version, self.fence = self._version, 0
+        version, fence = self._version, self.fence
+        self.fence = 0
         try:
             value = msgspec.json.encode(row)
             await self._store.write(Table.LEASE, KEY, value, version, deadline)
+        except ConditionError:
+            return
         except StoreError as exc:
             logger.info("lease not released", cause=str(exc))
+            self.fence = fence
 
     async def _look(self, deadline: float) -> None:
         page = await self._store.read(Table.LEASE, deadline)
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -24,7 +24,7 @@
 
     from hemlockhall_router.process.dialect import Dialect
     from hemlockhall_router.process.directory import Directory
-    from hemlockhall_router.process.hosts import Hosts
+    from hemlockhall_router.process.leadership import Leadership
     from hemlockhall_router.process.lease import Lease
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.prober import Prober
@@ -58,13 +58,13 @@
 
 
 class Planner:
-    """Plans while this host holds the lease."""
+    """Plans while this host may give orders."""
 
     def __init__(
         self,
         dialect: Dialect,
         directory: Directory,
-        hosts: Hosts,
+        leadership: Leadership,
         lease: Lease,
         prober: Prober,
         metrics: Metrics,
@@ -72,7 +72,7 @@
     ) -> None:
         self._dialect = dialect
         self._directory = directory
-        self._hosts = hosts
+        self._leadership = leadership
         self._lease = lease
         self._prober = prober
         self._metrics = metrics
@@ -80,19 +80,14 @@
         self._pending: dict[tuple[str, int], Pending] = {}
         self._known: dict[str, set[tuple[str, int]]] = {}
         self._settle_deadlines: dict[str, float] = {}
-        self._next_take = 0.0
         self._rest: dict[str, float] = {}
-        self.stopped = False
 
     async def run(self) -> None:
         """Plan until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
                 await anyio.sleep(INTERVAL_S)
-                if self.stopped:
-                    continue
-                await self._keep_lease()
-                if not self._lease.fence:
+                if not await self._leadership.holds():
                     continue
                 routing = self._routing()
                 if routing is None:
@@ -101,21 +96,6 @@
                     if service.model is not None:
                         self._step(service.name, service.model, group)
 
-    async def _keep_lease(self) -> None:
-        rival = self._hosts.fence()
-        if self._lease.fence and rival > self._lease.fence:
-            self._lease.drop("another host holds a newer one")
-        now = time.monotonic()
-        if self._lease.fence:
-            if self._lease.due and now >= self._next_take:
-                self._next_take = now + INTERVAL_S
-                await self._lease.take()
-            return
-        if rival or now < self._next_take:
-            return
-        self._next_take = now + 1.0
-        await self._lease.take()
-
     def _step(self, service: str, model: Model, group: anyio.abc.TaskGroup) -> None:
         members = self._directory.members(service)
         now = time.monotonic()
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -22,6 +22,7 @@
 from hemlockhall_router.process.directory import RETURN_S, Directory
 from hemlockhall_router.process.front import Front
 from hemlockhall_router.process.hosts import Hosts
+from hemlockhall_router.process.leadership import Leadership
 from hemlockhall_router.process.lease import Lease
 from hemlockhall_router.process.metric import Metrics
 from hemlockhall_router.process.planner import Planner
@@ -50,6 +51,8 @@
 NOTICE_S = 3.0
 # Seconds before the platform ends this process; what is left by then is cut.
 END_MARGIN_S = 0.8
+# Seconds for giving the lease back at the end; far above a call to the store.
+RELEASE_S = 0.3
 # Seconds for which a store failure still excuses missing entries.
 OUTAGE_S = 3.0
 BACKLOG = 1024
@@ -83,7 +86,7 @@
         )
         self.directory = Directory(self._dialect.endpoint, self._outage, lambda: None)
         self.lease = Lease(self._store, host.name, self._boot)
-        self._hosts = Hosts(
+        self.hosts = Hosts(
             host.name,
             settings.listen.hosts,
             settings.seeds,
@@ -94,9 +97,9 @@
         )
         retry = settings.retry
         self.budget = Budget(
-            retry.ratio, retry.constant, retry.window_s, self._hosts.count
+            retry.ratio, retry.constant, retry.window_s, self.hosts.count
         )
-        self._prober = Prober(self._dialect, self.directory, self._hosts.count)
+        self._prober = Prober(self._dialect, self.directory, self.hosts.count)
         chooser = Chooser(self.directory, host.data_centre)
         self._pool = Pool()
         tools = Tools(
@@ -109,10 +112,11 @@
             self._prober,
         )
         self.front = Front(tools, lambda: self.routing)
+        self.leadership = Leadership(self.lease, self.hosts)
         self._planner = Planner(
             self._dialect,
             self.directory,
-            self._hosts,
+            self.leadership,
             self.lease,
             self._prober,
             metrics,
@@ -135,7 +139,7 @@
             await group.start(self._listen, listen.ready, self._serve_ready)
             group.start_soon(self._routes_watch.run)
             group.start_soon(self._endpoints_watch.run)
-            group.start_soon(self._hosts.run)
+            group.start_soon(self.hosts.run)
             group.start_soon(self._planner.run)
             group.start_soon(self._prober.run)
             group.start_soon(self._upkeep)
@@ -207,7 +211,7 @@
         self.directory.take(rows)
 
     def _hears_others(self) -> bool:
-        return bool(self._hosts.live())
+        return bool(self.hosts.live())
 
     def _outage(self) -> float:
         """Return until when a missing entry may come back, or 0."""
@@ -237,7 +241,7 @@
             versions={watch.table.value: watch.version for watch in watches},
             loads=loads,
             tokens=tokens,
-            fence=self.lease.fence if self.lease.held else 0,
+            fence=self.lease.fence,
             leaving=self.front.leaving,
             peers=peers,
             down=down,
@@ -255,7 +259,7 @@
         while True:
             await anyio.sleep(UPKEEP_S)
             self.directory.expire()
-            self.directory.set_elsewhere(*self._hosts.loads())
+            self.directory.set_elsewhere(*self.hosts.loads())
             await self._pool.sweep()
 
     async def _settings_watch(self) -> None:
@@ -292,13 +296,14 @@
         began = time.monotonic()
         end = began + self._settings.leave.grace_s - END_MARGIN_S
         self.front.leave(began + NOTICE_S, end)
-        self._planner.stopped = True
-        await self.lease.release()
+        await self.leadership.resign()
         await anyio.sleep(max(0.0, began + NOTICE_S - time.monotonic()))
         while self.front.open_requests and time.monotonic() < end:
             self.front.close_idle()
             await anyio.sleep(0.05)
         self.front.close_idle()
+        with anyio.move_on_after(RELEASE_S):
+            await self.lease.release()
         logger.info("end", open_requests=self.front.open_requests)
         assert self._group is not None
         self._group.cancel_scope.cancel()
--- a/tests/router/test_planner.py
+++ b/tests/router/test_planner.py
@@ -60,3 +60,46 @@
             for endpoint in pool:
                 assert endpoint.orders[0].orders == 0
                 assert endpoint.orders[0].fence == h.routers[0].lease.fence
+
+
+class TestLeadership:
+    async def test_orders_go_on_when_the_holder_ends_in_an_outage(self) -> None:
+        """The store is away, and the host that holds the lease is told to end.
+        Nobody can acquire the lease. Then an endpoint dies: its layers stayed
+        unserved until the store was back, and callers were refused."""
+        async with hall(ROUTES) as h:
+            pool = await laid_out(h, 4)
+            holder = h.routers[0]
+            other = await h.add_router(grace_s=3.0)
+            await h.until(lambda: other.directory.members("pool"))
+            await h.until(holder.hosts.staying)
+            h.store.down = True
+            await holder.leave()
+            lost = pool.pop(1)
+            lost.stop()
+            other.directory.set_down(lost.name, down=True)
+            await h.until(lambda: not missing(pool))
+            assert not other.lease.fence
+
+    async def test_the_holder_leaves_orders_to_a_host_that_stays(self) -> None:
+        async with hall(ROUTES) as h:
+            holder = h.routers[0]
+            await h.until(lambda: holder.lease.fence)
+            other = await h.add_router()
+            await h.until(holder.hosts.staying)
+            h.group.start_soon(holder.leave)
+            await h.until(lambda: other.lease.fence)
+            assert not holder.lease.fence
+
+    async def test_the_last_host_gives_orders_until_it_ends(self) -> None:
+        """All hosts are told to end, one after the other. A leaving host gave
+        no orders, so what died then was replaced only after the restart."""
+        async with hall(ROUTES) as h:
+            pool = await laid_out(h, 4)
+            holder = h.routers[0]
+            h.group.start_soon(holder.leave)
+            await h.until(lambda: holder.front.leaving)
+            lost = pool.pop(1)
+            lost.stop()
+            h.enter(lost, "pool", draining=True, accelerator="small")
+            await h.until(lambda: not missing(pool))
