Give an order without an answer again at once; leave busy endpoints alone

Beside it, growing and shrinking of the same copy kept endpoints busy that the next repair needed.

Ruled out: the outage of the store (orders need only reports), the lease (one holder all the while), memory.

Change: an order is waited for 0.3 s and given up to three times with the number of orders that it follows, so one of them is begun and the others are refused. The plan leaves endpoints under order or resting out.

--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -36,8 +36,10 @@
 # Seconds without a new endpoint before the first plan: all appear within one
 # heartbeat, and a plan for half of them would have to be redone.
 SETTLE_S = 1.5
-# Seconds an order may take to be accepted.
-ORDER_S = 1.0
+# Seconds an order may take to be accepted: some milliseconds are usual.
+ORDER_S = 0.3
+# Times that an order without an answer is given.
+ORDER_TRIES = 3
 # Seconds beyond the loading time until an order counts as lost.
 LOAD_ALLOWANCE_S = 3.0
 # Seconds before an order without an answer is looked into again.
@@ -50,11 +52,16 @@
 
 @dataclass(slots=True)
 class Pending:
-    """An order that the endpoint does not show yet."""
+    """An order that the endpoint does not show yet.
+
+    ``follows`` is the number of orders that the endpoint had begun when this
+    one was ``sent``.
+    """
 
     layers: LayerRange
     deadline: float
-    accepted: bool = False
+    sent: bool = False
+    follows: int = 0
 
 
 class Planner:
@@ -108,11 +115,11 @@
             return
         by_id = {endpoint.id: endpoint for endpoint in members}
         serving = {endpoint.id: endpoint.layers for endpoint in members}
-        for key, layers in plan(model, members, held, serving).items():
-            endpoint = by_id[key]
-            waiting = self._pending.get(endpoint.incarnation)
-            if waiting is not None or now < self._rest.get(key, 0.0):
+        fixed = frozenset(key for key in by_id if self._fixed(by_id[key], now))
+        for key, layers in plan(model, members, held, serving, fixed).items():
+            if key in fixed:
                 continue
+            endpoint = by_id[key]
             share = layers.size / model.layers
             load_s = model.load_s * share * len(members) / max(1, model.loads_at_once)
             deadline = now + load_s + LOAD_ALLOWANCE_S
@@ -139,35 +146,56 @@
             return endpoint.layers
         return order.layers
 
+    def _fixed(self, endpoint: Endpoint, now: float) -> bool:
+        """Return whether an endpoint takes no order now."""
+        if endpoint.incarnation in self._pending:
+            return True
+        return now < self._rest.get(endpoint.id, 0.0)
+
     async def _order(self, endpoint: Endpoint, order: Pending) -> None:
-        """Give an order, and watch until it is carried out."""
+        """Give an order, and watch until it is carried out.
+
+        One without an answer is given again: it may be lost, or carried out
+        seconds later. Both name the same number of orders before them, so the
+        endpoint begins one of them and refuses the other.
+        """
+        for _ in range(ORDER_TRIES):
+            if await self._place(endpoint, order):
+                return
+        order.deadline = time.monotonic() + UNCERTAIN_S
+
+    async def _place(self, endpoint: Endpoint, order: Pending) -> bool:
+        """Give an order once; return whether its outcome is known."""
         try:
             report = await self._prober.report(endpoint)
         except (WireError, DecodeError) as exc:
             self._end(endpoint, order, f"no report: {exc}")
             self._prober.doubt([endpoint.id])
-            return
+            return True
         if report.layers == order.layers:
             self._directory.reported(endpoint.id, report)
-            return
+            return True
+        if report.busy and order.sent and report.orders > order.follows:
+            await self._follow(endpoint, order)
+            return True
         if report.busy:
             self._end(endpoint, order, "busy")
-            return
+            return True
+        order.sent, order.follows = True, report.orders
         call = self._dialect.place_call(order.layers, report.orders, self._lease.fence)
         try:
             deadline = time.monotonic() + ORDER_S
             response = await call_endpoint(endpoint, call, deadline)
         except WireError as exc:
-            order.deadline = time.monotonic() + UNCERTAIN_S
             self._note(endpoint, order, f"no answer: {exc}")
-            return
+            return False
         status = response.head.status
         self._note(endpoint, order, str(status))
         if status not in (200, 202):
             self._end(endpoint, order, f"status {status}")
-            return
-        order.accepted = True
+            return True
         await self._follow(endpoint, order)
+        return True
 
     async def _follow(self, endpoint: Endpoint, order: Pending) -> None:
         while self._pending.get(endpoint.incarnation) is order:
@@ -182,6 +210,8 @@
                 return
             if not report.busy:
                 self._directory.reported(endpoint.id, report)
+                if self._pending.get(endpoint.incarnation) is order:
+                    del self._pending[endpoint.incarnation]
                 return
 
     def _end(self, endpoint: Endpoint, order: Pending, cause: str) -> None:
--- a/packages/router/src/hemlockhall_router/version/layout.py
+++ b/packages/router/src/hemlockhall_router/version/layout.py
@@ -46,6 +46,7 @@
     endpoints: Iterable[Endpoint],
     held: dict[str, LayerRange | None],
     serving: dict[str, LayerRange | None] | None = None,
+    fixed: frozenset[str] = frozenset(),
 ) -> dict[str, LayerRange]:
     """Return the layers that endpoints should be ordered to hold.
 
@@ -59,6 +60,8 @@
         By endpoint id, what it holds or was just ordered to hold.
     serving : dict, optional
         By endpoint id, what it holds without the orders under way.
+    fixed : frozenset of str
+        Ids of the endpoints that take no other order now.
     """
     serving = held if serving is None else serving
     members = []
@@ -66,8 +69,8 @@
         capacity = model.capacity(endpoint.accelerator)
         key = endpoint.id
         if capacity > 0:
-            member = Member(endpoint, capacity, held.get(key), serving.get(key))
-            members.append(member)
+            layers, now = held.get(key), serving.get(key)
+            members.append(Member(endpoint, capacity, layers, now, key in fixed))
     found = groups(model, members)
     rebuilt = _may_rebuild(model, found)
     orders: dict[str, LayerRange] = {}
@@ -75,8 +78,11 @@
         orders.update(repair_group(model, group, rebuild=index == rebuilt))
     if orders:
         return orders
+    # Loads share the weight store: while a copy is being mended only endpoints
+    # that serve nothing are given layers.
+    whole = not any(Coverage.kept(model, group).holes() for group in found)
     for group in found:
-        orders.update(improve_group(model, group))
+        orders.update(improve_group(model, group, only_empty=not whole))
     return orders
 
 
@@ -157,7 +163,9 @@
     return orders
 
 
-def improve_group(model: Model, group: list[Member]) -> dict[str, LayerRange]:
+def improve_group(
+    model: Model, group: list[Member], *, only_empty: bool = False
+) -> dict[str, LayerRange]:
     """Return orders that make a whole copy safer; they interrupt nothing."""
     fill = _fill(model, group)
     coverage = Coverage(model, group)
@@ -165,6 +173,8 @@
     orders: dict[str, LayerRange] = {}
     for member in _fastest_first(model, group):
         size = _size(model, member, fill)
+        if member.fixed or (only_empty and member.held is not None):
+            continue
         if member.held is None:
             layers = _weakest(coverage, group, size, model.layers)
         elif member.held.size < size:
--- a/packages/router/src/hemlockhall_router/version/member.py
+++ b/packages/router/src/hemlockhall_router/version/member.py
@@ -26,12 +26,14 @@
     """An endpoint of a group: what it may hold, and what it holds.
 
     ``held`` counts orders under way as carried out, ``serving`` does not.
+    ``fixed`` tells that it takes no other order now.
     """
 
     endpoint: Endpoint
     capacity: int
     held: LayerRange | None
     serving: LayerRange | None = None
+    fixed: bool = False
 
     @property
     def kept(self) -> LayerRange | None:
@@ -54,7 +56,7 @@
     @property
     def room(self) -> int:
         """Layers of others that it can take over beside its own."""
-        if self.held is None:
+        if self.held is None or self.fixed:
             return 0
         return max(0, self.most - self.held.size)
 
--- a/packages/router/src/hemlockhall_router/version/repair.py
+++ b/packages/router/src/hemlockhall_router/version/repair.py
@@ -72,7 +72,7 @@
     while room < hole.size:
         free = []
         for member in group:
-            if member in chosen:
+            if member.fixed or member in chosen:
                 continue
             if member.held is None or coverage.without(member):
                 free.append(member)
--- a/packages/standins/src/hemlockhall_standins/router/endpoint.py
+++ b/packages/standins/src/hemlockhall_standins/router/endpoint.py
@@ -96,7 +96,11 @@
 
 @dataclass
 class ScriptedEndpoint:
-    """Listens on loopback and runs ``script`` for each request."""
+    """Listens on loopback and runs ``script`` for each request.
+
+    ``late_orders`` is the number of orders that it leaves without an answer and
+    carries out when the test calls ``catch_up``.
+    """
 
     name: str
     script: Script
@@ -105,6 +109,8 @@
     orders: list[OrderRow] = field(default_factory=list)
     state: ReportRow = field(default_factory=ReportRow)
     left: int = 0
+    late_orders: int = 0
+    waiting: list[OrderRow] = field(default_factory=list)
     _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     async def start(self, group: TaskGroup) -> None:
@@ -159,13 +165,26 @@
 
     async def _hold(self, arrival: Arrival) -> None:
         order = msgspec.json.decode(arrival.body, type=OrderRow)
-        if order.orders != self.state.orders:
-            await arrival.answer(409)
+        if self.late_orders:
+            self.late_orders -= 1
+            self.waiting.append(order)
+            await arrival.reader.watch()
+            arrival.ended = True
             return
+        await arrival.answer(202 if self._begin(order) else 409)
+
+    def catch_up(self) -> None:
+        """Carry out the orders that were left without an answer."""
+        while self.waiting:
+            self._begin(self.waiting.pop(0))
+
+    def _begin(self, order: OrderRow) -> bool:
+        if order.orders != self.state.orders:
+            return False
         self.orders.append(order)
         self.state.orders += 1
         self.state.layers = order.layers
-        await arrival.answer(202)
+        return True
 
 
 __all__ = [
--- a/tests/router/test_planner.py
+++ b/tests/router/test_planner.py
@@ -61,6 +61,22 @@
                 assert endpoint.orders[0].orders == 0
                 assert endpoint.orders[0].fence == h.routers[0].lease.fence
 
+    async def test_an_order_without_an_answer_is_given_again_at_once(self) -> None:
+        """Endpoints leave their first order unanswered and carry it out after
+        they began a second one. Waiting for the first, the planner left the
+        layers unserved; carried out late, it must not undo the second."""
+        async with hall(ROUTES) as h:
+            pool = []
+            for number in range(4):
+                pool.append(await h.endpoint(f"p{number}", unused, **EMPTY))
+                pool[-1].late_orders = 1
+            await h.until(lambda: not missing(pool))
+            for endpoint in pool:
+                assert len(endpoint.waiting) == 1
+                endpoint.catch_up()
+                assert len(endpoint.orders) == 1
+            assert not missing(pool)
+
 
 class TestLeadership:
     async def test_orders_go_on_when_the_holder_ends_in_an_outage(self) -> None:
