Relieve only tight endpoints, and let the others grow meanwhile

Cause: found by reading. A group in which one member has too many layers and nobody can be spared made no other improvement, though growing is what makes somebody spare; and a member one layer over its share moved a spare one.

Change: relief from a filling of 0.8 on; without a spare member the others are improved as before. One test, failed first.

--- a/packages/router/src/hemlockhall_router/version/balance.py
+++ b/packages/router/src/hemlockhall_router/version/balance.py
@@ -16,6 +16,9 @@
 # Orders at once that make a whole copy safer; loads share the weight store, and
 # the next repair should not have to wait for them.
 IMPROVE_AT_ONCE = 4
+# Filling from which a spare member is moved to relieve another one: below it the
+# tight one has room for more than half of what the others have.
+TIGHT = 0.8
 
 
 def improve_group(
@@ -36,8 +39,10 @@
             layers = _grown(coverage, member.held, size, model.layers)
         elif member.held.size > size:
             layers = _shrunk(kept, member, size)
-            if layers == member.held and not orders:
-                return _relief(model, member, size, group)
+            if layers == member.held and member.filling > TIGHT and not orders:
+                found = _relief(model, member, size, group)
+                if found:
+                    return found
         else:
             continue
         if layers == member.held:
--- a/tests/router/test_layout.py
+++ b/tests/router/test_layout.py
@@ -290,6 +290,21 @@
         assert uncovered(found, held, "z") == []
         assert filling(tight, held) <= FILL
 
+    def test_a_tight_endpoint_does_not_keep_others_from_growing(self) -> None:
+        """One endpoint has too many layers and nobody can be spared to relieve
+        it. Others hold fewer than they have memory for; they must grow, as that
+        is what makes somebody spare."""
+        found = endpoints({"x": "llllllllll"})
+        held: dict[str, LayerRange | None] = {}
+        first = 0
+        sizes = (11, 7, 7, 7, 8, 8, 8, 8, 8, 8)
+        for endpoint, size in zip(found, sizes, strict=True):
+            held[endpoint.id] = LayerRange(first, first + size)
+            first += size
+        settle(found, held)
+        assert uncovered(found, held, "x") == []
+        assert sum(held[e.id].size for e in found) > 80
+
     def test_neighbours_take_a_hole_only_if_nobody_can_be_spared(self) -> None:
         """An endpoint dies, and its neighbours have memory for its layers if
         they keep a few requests' worth only. Every request passes them then,
