Refuse a request without room while its caller still listens

A request that all endpoints refused for want of memory was sent again every half second until its deadline or the twelfth try, 6 s and more; its caller leaves after four objectives (2 s).

Ruled out: streams under way (they go on waiting, the caller has a part).

Change: after two objectives a request that was refused and has not begun gets 503 with Retry-After. One test, failed first (12 tries).

--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -34,6 +34,10 @@
 # Longest pauses for which a stream that is still served waits until another
 # endpoint takes it; after that the caller does better with what it has.
 HANDOVER_PAUSES = 1.0
+# Objectives after which a request that endpoints refused for want of room is
+# refused, and told when to come back. Its caller leaves after four of them; one
+# that is held until then learns nothing, and comes back later than it could.
+ROOM_OBJECTIVES = 2.0
 # Tries for one request; it bounds the work that it makes.
 MAX_TRIES = 12
 
@@ -60,7 +64,7 @@
         """Relay the stream until it is complete or given up."""
         for _ in range(MAX_TRIES):
             path = await self._path()
-            if path is None or self._work.left_s <= 0:
+            if path is None or self._work.left_s <= 0 or self._crowded_out():
                 break
             if self._sent and not self._paid and not await self._afford():
                 break
@@ -241,6 +245,12 @@
             return time.monotonic() - began > RESTORE_S
         return self._tools.chooser.without_path_s(self._work.service.name) > RESTORE_S
 
+    def _crowded_out(self) -> bool:
+        """Return whether a refused request has waited long enough for room."""
+        if self._reply.started or not self._rejected:
+            return False
+        return self._times.took_s > self._patience.objective_s * ROOM_OBJECTIVES
+
     def _starts_at(self) -> frozenset[str] | None:
         """Return where the request may be sent if its route's limit is reached.
 
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -104,6 +104,26 @@
             assert response.head.header(b"retry-after") is not None
 
 
+class TestRefusals:
+    async def test_a_request_without_room_is_not_held_to_its_deadline(self) -> None:
+        """All endpoints refuse a request for want of memory, again and again.
+        It was sent to them every half second until its deadline, when its
+        caller had left; it must be refused while the caller still listens."""
+
+        async def refuse(arrival: Arrival) -> None:
+            port = arrival.endpoint.port
+            await arrival.refuse(503, f"at-fault: 127.0.0.1:{port}\r\n")
+
+        route = RouteRow("/draft/", "stream", "pool", resumable=True, timeout_s=60.0)
+        async with hall([route]) as h:
+            pool = await h.endpoint("p1", refuse, **ALL)
+            response = await h.ask("/draft/x", method="POST")
+            assert response.head.status == 503
+            assert response.head.header(b"retry-after") is not None
+            # It is left out for 0.5 s after a refusal; the objective is 0.3 s.
+            assert len(pool.arrivals) <= 4
+
+
 class TestResuming:
     async def test_a_stream_cut_inside_an_event_goes_on_elsewhere(self) -> None:
         """The first endpoint resets after two and a half events. The caller
