--- a/packages/standins/src/hemlockhall_standins/deployment.py
+++ b/packages/standins/src/hemlockhall_standins/deployment.py
@@ -151,7 +151,7 @@
         (admin,) = self.addresses(1)
         args = ("--listen", listen, "--target", target, "--admin", admin)
         self._links[f"{name}/link"] = admin
-        self.run(f"{name}/link", "hemlockstand", "link", *args)
+        self.run_standin(f"{name}/link", "link", *args)
         self.wait_listening(admin, f"link of {name}")
 
     def _common(self, name: str, data_centre: str, listen: str, link: str) -> str:
@@ -249,7 +249,7 @@
             cost = self.token_layer_s / plan.speed
             speed += ("--token-layer-s", str(cost))
             args = ("engine", *listen, *layers, *speed)
-        self.run(f"{name}/back-end", "hemlockstand", *args)
+        self.run_standin(f"{name}/back-end", *args)
         self.wait_listening(node.back_end, name)
 
     def start_side(self, name: str) -> None:
--- a/packages/standins/src/hemlockhall_standins/processes.py
+++ b/packages/standins/src/hemlockhall_standins/processes.py
@@ -91,6 +91,10 @@
                 [self.program(program), *args], stdout=log, stderr=log
             )
 
+    def run_standin(self, name: str, *args: str) -> None:
+        """Start a stand-in."""
+        self.run(name, "python", "-m", "hemlockhall_standins.main", *args)
+
     def program(self, name: str) -> Path:
         """Return the path of a program of this project."""
         return self._bin / name
@@ -167,7 +171,7 @@
         addresses = self.processes.addresses(len(self.NAMES))
         for name, address in zip(self.NAMES, addresses, strict=True):
             self._at[name] = address
-            self.processes.run(name, "hemlockstand", name, "--listen", address)
+            self.processes.run_standin(name, name, "--listen", address)
         for name, address in self._at.items():
             self.processes.wait_listening(address, name)
 
