Never move a stream that may run only once

Cause: found by reading the diff. A stream that its route does not let resume was asked to leave like any other: the new hand-over would have run it at a second endpoint, and before it was broken off when an endpoint on its path left or seemed down.

Ruled out: the silence of such a stream (its wait ends with its deadline).

Change: a run that may not be repeated takes no request to leave. One test, failed first.

--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -45,7 +45,9 @@
         self._began = 0.0
         self.path = path
         self.head: ResponseHead | None = None
-        self.running = Running(self.ids, patience.quiet_first_s)
+        self.running = Running(
+            self.ids, patience.quiet_first_s, movable=work.route.repeatable
+        )
         self._occupied = Occupied(tools.directory, self.ids, self.running, work.size)
 
     @property
--- a/packages/router/src/hemlockhall_router/request/running.py
+++ b/packages/router/src/hemlockhall_router/request/running.py
@@ -39,11 +39,16 @@
         Endpoints on its path.
     quiet_s : float
         Seconds of silence from which its endpoints are in doubt.
+    movable : bool
+        Whether it may run a second time elsewhere. One that may not is lost
+        by leaving, even if an endpoint on its path seems down: its own
+        connection tells whether it is.
     """
 
-    def __init__(self, ids: list[str], quiet_s: float) -> None:
+    def __init__(self, ids: list[str], quiet_s: float, *, movable: bool) -> None:
         self.ids = ids
         self.quiet_s = quiet_s
+        self._movable = movable
         self.heard_at = time.monotonic()
         self.doubted = False
         self.began = False
@@ -68,7 +73,7 @@
         One that is still ``served`` is asked only once the caller has an event:
         before that it has nothing to lose where it is.
         """
-        if served and not self.began:
+        if not self._movable or (served and not self.began):
             return
         if self._moved is not None and not self._moved.served:
             return
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -505,6 +505,45 @@
                 budget.constant = constant
             assert bodies == [WHOLE]
 
+    async def test_a_stream_that_may_run_once_is_never_moved(self) -> None:
+        """A stream that may not be resumed runs at an endpoint that leaves, and
+        that does not answer when asked for its state. Sent to the other one it
+        would run twice; broken off, it would be lost though it is served."""
+        go_on = anyio.Event()
+
+        async def slow(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await go_on.wait()
+            for number in range(2, EVENTS + 1):
+                await arrival.event(number)
+            await arrival.end()
+
+        async with hall([RouteRow("/once/", "stream", "pool")]) as h:
+            first = await h.endpoint("p1", slow, **ALL)
+            directory = h.routers[0].directory
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/once/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                held = directory.held["p1"]
+                await h.until(lambda: held.running)
+                await h.until(lambda: all(run.began for run in held.running))
+                other = await h.endpoint("p2", write, **ALL)
+                h.enter(first, "pool", draining=True, layers=(0, 8), accelerator="big")
+                await h.until(lambda: held.leave_deadline is not None)
+                held.leave_deadline = 0.0
+                directory.expire()
+                directory.set_down("p1", down=True)
+                await anyio.sleep(0.1)
+                go_on.set()
+            assert bodies == [WHOLE]
+            assert len(first.arrivals) == 1
+            assert not other.arrivals
+
 
 class TestLeaving:
     async def test_a_stream_outlives_sigterm(self) -> None:
