Count endpoints that seem down towards a route's limit

It was cut off from us for a moment and ran on until 16.1 s.

Ruled out: the hand-over (both endpoints were left because of faults).

Change: an endpoint counts as long as its entry is there under the same incarnation. A stream whose two endpoints both crashed goes on only when an entry has vanished or one of them is back: that may lose it, and keeps the rule. One test, failed first.

--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from hemlockhall_router.process.directory import Directory, Held
+    from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
     from hemlockhall_router.version.routing import Model, Service
 
@@ -134,10 +135,14 @@
         self._made[service] = (self._directory.version, model.layers, now)
         return paths
 
-    def alive(self, key: str) -> bool:
-        """Return whether an endpoint is there and answers, as far as is known."""
-        held = self._directory.held.get(key)
-        return held is not None and not held.down
+    def there(self, endpoint: Endpoint) -> bool:
+        """Return whether this run of an endpoint has not ended, for all we know.
+
+        One that does not answer may still run what it was sent: it can be cut
+        off, or slow to say how it is.
+        """
+        held = self._directory.held.get(endpoint.id)
+        return held is not None and held.endpoint.incarnation == endpoint.incarnation
 
     def _around(
         self,
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -20,6 +20,7 @@
     from hemlockhall_router.request.events import Event
     from hemlockhall_router.request.reply import Reply
     from hemlockhall_router.request.work import Tools, Work
+    from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
 
 # Seconds after the last path was lost for which requests wait for one. Layers of
@@ -57,7 +58,7 @@
         self._avoid: set[str] = set()
         self._sent = 0
         self._paid = False
-        self._ran_at: set[str] = set()
+        self._ran_at: dict[str, Endpoint] = {}
         self._times = Times()
 
     async def run(self) -> None:
@@ -143,12 +144,12 @@
             with anyio.fail_after(self._patience.pause_s * HANDOVER_PAUSES):
                 await new.begin(self._last_id)
             self._attempt = new
-            self._ran_at.add(old.path.first.id)
+            self._note_run(old)
             self._tools.metrics.retry(moved.reason)
             self._log_broken(old, moved.reason, str(moved))
         except (TryFailedError, TimeoutError, MovedError) as exc:
             if not isinstance(exc, TryFailedError) or exc.ran:
-                self._ran_at.add(path.first.id)
+                self._note_run(new)
             self._tools.metrics.retry(Retry.STAYED)
             self._log_broken(new, Retry.STAYED, str(exc) or "no answer in time")
         finally:
@@ -210,7 +211,7 @@
             self._sent += 1
         if again.ran:
             self._ran = True
-            self._ran_at.add(attempt.path.first.id)
+            self._note_run(attempt)
             return work.route.repeatable
         self._rejected = True
         return True
@@ -255,13 +256,20 @@
         """Return where the request may be sent if its route's limit is reached.
 
         It ran at an endpoint that received it. Once as many as the route
-        allows did, and live, it goes on only at one of these, with other
+        allows did, and have not ended, it goes on only at one of these, with other
         endpoints behind it on the path.
         """
-        alive = [key for key in self._ran_at if self._tools.chooser.alive(key)]
-        if len(alive) < self._work.route.max_endpoints:
+        there = []
+        for key, endpoint in self._ran_at.items():
+            if self._tools.chooser.there(endpoint):
+                there.append(key)
+        if len(there) < self._work.route.max_endpoints:
             return None
-        return frozenset(alive)
+        return frozenset(there)
+
+    def _note_run(self, attempt: Attempt) -> None:
+        first = attempt.path.first
+        self._ran_at[first.id] = first
 
     def _note_end(self, path: Path) -> None:
         times = self._times
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -200,6 +200,45 @@
             assert sum(len(endpoint.arrivals) for endpoint in pool) == EVENTS
             assert sum(1 for endpoint in pool if endpoint.arrivals) == 2
 
+    async def test_an_endpoint_that_seems_down_counts_as_used(self) -> None:
+        """A stream leaves its first endpoint, which does not answer when asked
+        how it is, but is there and still runs it. The second one breaks off
+        too. The route allows two; a third endpoint must not get the stream."""
+
+        async def stall(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(first_event(arrival))
+            await arrival.reader.watch()
+            arrival.ended = True
+
+        async def cut(arrival: Arrival) -> None:
+            if len(arrival.endpoint.arrivals) > 1:
+                await write(arrival)
+                return
+            await arrival.begin()
+            await arrival.event(first_event(arrival))
+            await anyio.sleep(0.02)
+            await arrival.reset()
+
+        fixed = {**ALL, "accelerator": "unplanned"}
+        async with hall(ROUTES) as h:
+            directory = h.routers[0].directory
+            pool = [await h.endpoint("p0", stall, **fixed)]
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                held = directory.held["p0"]
+                await h.until(lambda: any(run.began for run in held.running))
+                pool.append(await h.endpoint("p1", cut, **fixed))
+                pool.append(await h.endpoint("p2", cut, **fixed))
+                directory.set_down("p0", down=True)
+            assert bodies == [WHOLE]
+            assert sum(1 for endpoint in pool if endpoint.arrivals) == 2
+
     async def test_a_stream_that_may_only_go_back_survives_one_refusal(self) -> None:
         """The route allows one endpoint. It breaks the stream off after two
         events, refuses the first resumption for want of room, and has room a
