Give layers up at once while a copy is broken

Hypothesis: while a copy is broken, the streams on an endpoint that takes layers over had better go on elsewhere; otherwise it may wait for them.

--- a/packages/router/src/hemlockhall_router/process/dialect.py
+++ b/packages/router/src/hemlockhall_router/process/dialect.py
@@ -98,8 +98,14 @@
         """Decode the answer to ``report_call``; raise ``DecodeError``."""
 
     @abstractmethod
-    def place_call(self, layers: LayerRange, orders: int, fence: int) -> Call:
-        """Return the order to hold layers if ``orders`` were begun so far."""
+    def place_call(
+        self, layers: LayerRange, orders: int, fence: int, *, at_once: bool
+    ) -> Call:
+        """Return the order to hold layers if ``orders`` were begun so far.
+
+        Layers that are given up serve what runs on them to its end, unless
+        they are given up ``at_once``.
+        """
 
     @abstractmethod
     def repath_call(self, request_id: bytes, path: Path) -> Call:
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -17,7 +17,7 @@
 from hemlockhall_router.connection.error import WireError
 from hemlockhall_router.process.dialect import DecodeError
 from hemlockhall_router.process.prober import call_endpoint
-from hemlockhall_router.version.layout import plan
+from hemlockhall_router.version.layout import plan, whole
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,12 +54,14 @@
 class Pending:
     """An order that the endpoint does not show yet.
 
-    ``follows`` is the number of orders that the endpoint had begun when this
+    ``at_once`` tells that it gives layers up without waiting for the streams on
+    them. ``follows`` is the number of orders that the endpoint had begun when this
     one was ``sent``.
     """
 
     layers: LayerRange
     deadline: float
+    at_once: bool = False
     sent: bool = False
     follows: int = 0
 
@@ -116,6 +118,10 @@
         by_id = {endpoint.id: endpoint for endpoint in members}
         serving = {endpoint.id: endpoint.layers for endpoint in members}
         fixed = frozenset(key for key in by_id if self._fixed(by_id[key], now))
+        # A copy without some layers serves nobody. Waiting until the streams on
+        # an endpoint have ended leaves it so for as long as they take, which
+        # under load is many seconds; those few streams go on elsewhere.
+        at_once = not whole(model, members, serving)
         for key, layers in plan(model, members, held, serving, fixed).items():
             if key in fixed:
                 continue
@@ -123,7 +129,7 @@
             share = layers.size / model.layers
             load_s = model.load_s * share * len(members) / max(1, model.loads_at_once)
             deadline = now + load_s + LOAD_ALLOWANCE_S
-            order = Pending(layers, deadline)
+            order = Pending(layers, deadline, at_once)
             self._pending[endpoint.incarnation] = order
             group.start_soon(self._order, endpoint, order)
 
@@ -182,7 +188,9 @@
             self._end(endpoint, order, "busy")
             return True
         order.sent, order.follows = True, report.orders
-        call = self._dialect.place_call(order.layers, report.orders, self._lease.fence)
+        call = self._dialect.place_call(
+            order.layers, report.orders, self._lease.fence, at_once=order.at_once
+        )
         try:
             deadline = time.monotonic() + ORDER_S
             response = await call_endpoint(endpoint, call, deadline)
--- a/packages/router/src/hemlockhall_router/version/layout.py
+++ b/packages/router/src/hemlockhall_router/version/layout.py
@@ -61,14 +61,7 @@
         Ids of the endpoints that take no other order now.
     """
     serving = held if serving is None else serving
-    members = []
-    for endpoint in endpoints:
-        most = model.capacity(endpoint.accelerator)
-        key = endpoint.id
-        if most > 0:
-            layers, now = held.get(key), serving.get(key)
-            members.append(Member(endpoint, most, layers, now, key in fixed))
-    found = groups(model, members)
+    found = groups(model, _members(model, endpoints, held, serving, fixed))
     rebuilt = _may_rebuild(model, found)
     orders: dict[str, LayerRange] = {}
     for index, group in enumerate(found):
@@ -83,6 +76,36 @@
     return orders
 
 
+def whole(
+    model: Model,
+    endpoints: Iterable[Endpoint],
+    serving: dict[str, LayerRange | None],
+) -> bool:
+    """Return whether each group serves all layers now."""
+    members = _members(model, endpoints, serving, serving, frozenset())
+    for group in groups(model, members):
+        if Coverage(model, group).holes():
+            return False
+    return True
+
+
+def _members(
+    model: Model,
+    endpoints: Iterable[Endpoint],
+    held: dict[str, LayerRange | None],
+    serving: dict[str, LayerRange | None],
+    fixed: frozenset[str],
+) -> list[Member]:
+    members = []
+    for endpoint in endpoints:
+        most = model.capacity(endpoint.accelerator)
+        key = endpoint.id
+        if most > 0:
+            layers, now = held.get(key), serving.get(key)
+            members.append(Member(endpoint, most, layers, now, key in fixed))
+    return members
+
+
 def _may_rebuild(model: Model, found: list[list[Member]]) -> int | None:
     """Return which group may give up layers that nobody else holds, if any.
 
@@ -229,4 +252,5 @@
     "plan",
     "repair_group",
     "share_out",
+    "whole",
 ]
--- a/packages/standins/src/hemlockhall_standins/router/dialect.py
+++ b/packages/standins/src/hemlockhall_standins/router/dialect.py
@@ -101,6 +101,7 @@
     layers: tuple[int, int]
     orders: int
     fence: int
+    at_once: bool
 
 
 def model(layers: int = LAYERS) -> Model:
@@ -212,9 +213,11 @@
         layers = LayerRange(*row.layers) if row.layers else None
         return Report(row.busy, row.orders, 0, 0, 0, 0, layers, row.born)
 
-    def place_call(self, layers: LayerRange, orders: int, fence: int) -> Call:
+    def place_call(
+        self, layers: LayerRange, orders: int, fence: int, *, at_once: bool
+    ) -> Call:
         """Encode an ``OrderRow``."""
-        row = OrderRow((layers.first, layers.end), orders, fence)
+        row = OrderRow((layers.first, layers.end), orders, fence, at_once)
         return Call(b"POST", b"/hold", [], msgspec.json.encode(row))
 
     def repath_call(self, request_id: bytes, path: Path) -> Call:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -192,7 +192,8 @@
         assert text == b"10.1.64.9:8080=0-20,10.2.64.3:8081=20-80"
 
     def test_an_order_names_the_orders_before(self) -> None:
-        body = msgspec.json.decode(DIALECT.place_call(LayerRange(20, 31), 4, 0).body)
+        call = DIALECT.place_call(LayerRange(20, 31), 4, 0, at_once=False)
+        body = msgspec.json.decode(call.body)
         assert body == {
             "operation": "place",
             "from": 20,
@@ -200,8 +201,10 @@
             "mode": "queue",
             "precondition": 4,
         }
-        body = msgspec.json.decode(DIALECT.place_call(LayerRange(0, 1), 0, 9).body)
+        call = DIALECT.place_call(LayerRange(0, 1), 0, 9, at_once=True)
+        body = msgspec.json.decode(call.body)
         assert body["fence"] == 9
+        assert body["mode"] == "cutover"
 
     def test_token_counts(self) -> None:
         name = b"X-Hemlockhall-Token-Counts"
--- a/tests/router/test_planner.py
+++ b/tests/router/test_planner.py
@@ -52,6 +52,27 @@
             h.enter(lost, "pool", draining=True, accelerator="small")
             await h.until(lambda: not missing(pool))
 
+    async def test_layers_are_given_up_at_once_only_for_a_broken_copy(self) -> None:
+        """An endpoint that holds layers twice takes over those of a lost one.
+        It waited until the streams on it had ended, which under load took many
+        seconds, and all that time the copy served nobody."""
+        async with hall(ROUTES) as h:
+            pool = await laid_out(h, 4)
+            assert all(endpoint.orders[-1].at_once for endpoint in pool)
+            held = h.routers[0].directory.held
+            await h.until(lambda: all(held[e.name].endpoint.layers for e in pool))
+            spare = await h.endpoint("p9", unused, **EMPTY)
+            await h.until(lambda: spare.orders)
+            assert not spare.orders[0].at_once
+            lost = pool.pop(1)
+            rest = [*pool, spare]
+            before = {e.name: len(e.orders) for e in rest}
+            lost.stop()
+            h.enter(lost, "pool", draining=True, accelerator="small")
+            await h.until(lambda: not missing(rest))
+            repairs = [o for e in rest for o in e.orders[before[e.name] :]]
+            assert any(order.at_once for order in repairs)
+
     async def test_orders_name_the_count_of_orders_before(self) -> None:
         """An order that an endpoint carries out late, after a newer one, names
         a count that has passed, so the endpoint refuses it."""
