Count the prompts that an endpoint still reads in its cost

Each host sent all its streams to the fastest path, whose first endpoint had some 70,000 tokens to read at 146 a ms. Hypothesis: a path is charged for the prompts that wait there, each host counting as if the others sent what it sends, since no message is as quick. Ruled out: slow notice of the loss, in this case. Conclusion: kept for what it does to the streams of a lost endpoint.

--- a/packages/router/src/hemlockhall_router/policy/crowding.py
+++ b/packages/router/src/hemlockhall_router/policy/crowding.py
@@ -16,6 +16,10 @@
 BRIM = 1.02
 BRIM_MARGIN = 0.02
 OVERFULL = 200.0
+# Milliseconds a token that a request is charged for each millisecond until its
+# prompt has been read. An answer has some fifty events and the first one has an
+# objective of its own, so a delay at the start counts more than spread over all.
+READING_WEIGHT = 0.1
 
 
 def room(held: Held, model: Model) -> float:
@@ -48,9 +52,26 @@
     return part * part / (BRIM - part)
 
 
+def reading_ms(held: Held, model: Model, size: int, hosts: int) -> float:
+    """Return the milliseconds for which one layer reads the prompts sent there.
+
+    Streams of a lost endpoint go on elsewhere all at once, at all hosts, before
+    any of them can tell the others. Each counts as if the others sent what it
+    sends; otherwise all these prompts queue at the fastest endpoint.
+    """
+    accelerator = model.accelerators.get(held.endpoint.accelerator)
+    if accelerator is None or not model.read_per_s:
+        return 0.0
+    tokens = held.unread * hosts + size
+    read_ms = tokens * accelerator.read_factor * held.pace / model.read_per_s * 1000
+    return read_ms / model.layers
+
+
 __all__ = [
     "CROWDED_MS",
+    "READING_WEIGHT",
     "crowding",
     "filling",
+    "reading_ms",
     "room",
 ]
--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -6,10 +6,18 @@
 import time
 from typing import TYPE_CHECKING
 
-from hemlockhall_router.policy.crowding import CROWDED_MS, crowding, filling
+from hemlockhall_router.policy.crowding import (
+    CROWDED_MS,
+    READING_WEIGHT,
+    crowding,
+    filling,
+    reading_ms,
+)
 from hemlockhall_router.version.path import Toll, find_path
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hemlockhall_router.policy.pipe import Pipes
     from hemlockhall_router.process.directory import Directory, Held
     from hemlockhall_router.version.endpoint import Endpoint
@@ -32,8 +40,15 @@
 class Chooser:
     """Chooses among the endpoints in the directory."""
 
-    def __init__(self, directory: Directory, home: str, pipes: Pipes) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        home: str,
+        pipes: Pipes,
+        hosts: Callable[[], int],
+    ) -> None:
         self._directory = directory
+        self._hosts = hosts
         self._pipes = pipes
         self._home = home
         self._seen_at: dict[str, float] = {}
@@ -105,11 +120,12 @@
         starts_at: frozenset[str] | None,
     ) -> Path | None:
         tolls = {}
+        hosts = self._hosts()
         endpoints = []
         for held in self._directory.usable(service.name):
             if held.endpoint.id in tried:
                 continue
-            tolls[held.endpoint.id] = _toll(held, model, service.slots, size)
+            tolls[held.endpoint.id] = _toll(held, model, service.slots, size, hosts)
             endpoints.append(held.endpoint)
         return find_path(
             model,
@@ -126,7 +142,7 @@
         )
 
 
-def _toll(held: Held, model: Model, slots: int, size: int) -> Toll:
+def _toll(held: Held, model: Model, slots: int, size: int, hosts: int) -> Toll:
     """Return what one more request at an endpoint costs."""
     factor = held.pace * random.uniform(1 - SPREAD, 1 + SPREAD)  # noqa: S311
     if held.doubtful:
@@ -135,7 +151,8 @@
     start_ms = 0.0
     if slots:
         start_ms = CROWDED_MS * crowding((held.load + 1) / slots)
-    return Toll(factor, crowded_ms * factor, start_ms * factor)
+    layer_ms = READING_WEIGHT * reading_ms(held, model, size, hosts)
+    return Toll(factor, layer_ms * factor, crowded_ms * factor, start_ms * factor)
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -45,13 +45,15 @@
 class Held:
     """An endpoint, and what this host has seen of it.
 
-    ``tokens`` are those of its requests; ``elsewhere`` and
+    ``tokens`` are those of its requests, ``unread`` those of the requests without
+    an event so far, whose prompts it still reads; ``elsewhere`` and
     ``tokens_elsewhere`` are the requests and tokens of other hosts there.
     """
 
     endpoint: Endpoint
     in_flight: int = 0
     tokens: int = 0
+    unread: int = 0
     elsewhere: int = 0
     tokens_elsewhere: int = 0
     failures: int = 0
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -106,7 +106,7 @@
         )
         self._prober = Prober(self._dialect, self.directory, self.hosts.count)
         pipes = Pipes(self.hosts.count)
-        chooser = Chooser(self.directory, host.data_centre, pipes)
+        chooser = Chooser(self.directory, host.data_centre, pipes, self.hosts.count)
         self._pool = Pool()
         tools = Tools(
             self._dialect,
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -118,6 +118,7 @@
             took = time.monotonic() - self._began
             self._tools.directory.succeeded(self.path.first.id, took)
             self._tools.metrics.first_event.record(took)
+            self._occupied.read()
         self.running.heard(self._patience.quiet_pause_s)
 
     async def keep(self) -> None:
--- a/packages/router/src/hemlockhall_router/request/work.py
+++ b/packages/router/src/hemlockhall_router/request/work.py
@@ -127,6 +127,7 @@
         self._running = running
         self._tokens = tokens
         self._entered = False
+        self._reading = False
         self._held: list[Held] = []
         for key in ids:
             held = directory.held.get(key)
@@ -135,19 +136,30 @@
 
     def enter(self) -> None:
         """Count the request from now on."""
+        self._reading = True
         for held in self._held:
             held.in_flight += 1
             held.tokens += self._tokens
+            held.unread += self._tokens
             if self._running is not None:
                 held.running.add(self._running)
         if self._running is not None:
             self._directory.running.add(self._running)
         self._entered = True
 
+    def read(self) -> None:
+        """Note that its prompt has been read; once is enough."""
+        if not self._reading:
+            return
+        self._reading = False
+        for held in self._held:
+            held.unread -= self._tokens
+
     def exit(self) -> None:
         """Count it no more; once is enough."""
         if not self._entered:
             return
+        self.read()
         self._entered = False
         for held in self._held:
             held.in_flight -= 1
--- a/packages/router/src/hemlockhall_router/version/path.py
+++ b/packages/router/src/hemlockhall_router/version/path.py
@@ -27,11 +27,12 @@
 class Toll:
     """What using an endpoint costs beside its usual time.
 
-    ``factor`` is on its time for a token, at least 1; ``pass_ms`` is added for
-    each token that passes through it, ``start_ms`` where it is the first.
+    ``factor`` is on its time for a token, at least 1; ``layer_ms`` is added for
+    each layer that it runs, ``pass_ms`` once, ``start_ms`` where it is the first.
     """
 
     factor: float = 1.0
+    layer_ms: float = 0.0
     pass_ms: float = 0.0
     start_ms: float = 0.0
 
@@ -124,6 +125,7 @@
             accelerator = model.accelerators.get(endpoint.accelerator)
             pace = accelerator.step_factor if accelerator else 1.0
             per_layer = model.step_ms * pace * cost_of_use.factor / model.layers
+            per_layer += cost_of_use.layer_ms
             for end in order[index + 1 :]:
                 if end > layers.end:
                     break
--- a/tests/router/test_load_pipe.py
+++ b/tests/router/test_load_pipe.py
@@ -65,7 +65,7 @@
     choosers = []
     for _ in range(HOSTS):
         pipes = Pipes(lambda: hosts_known, clock)
-        choosers.append((Chooser(directory(), "x", pipes), pipes))
+        choosers.append((Chooser(directory(), "x", pipes, lambda: HOSTS), pipes))
     chosen = []
     for number in range(PER_S * SECONDS):
         clock.now = 100.0 + number / PER_S
@@ -102,7 +102,7 @@
     def test_a_host_alone_uses_the_pipe_again_when_it_is_free(self) -> None:
         clock = Clock()
         pipes = Pipes(lambda: 1, clock)
-        chooser = Chooser(directory(), "x", pipes)
+        chooser = Chooser(directory(), "x", pipes, lambda: HOSTS)
         path = chooser.path(SERVICE, set(), size=TOKENS)
         pipes.send(path, MODEL, 100_000)
         assert len(chooser.path(SERVICE, set(), size=TOKENS).parts) == 1
