Ask only endpoints that no stream hears, and sooner

A silent stream had all of some twelve endpoints on its path asked; the many questions that found nothing put the next ones off by up to eight times. Hypothesis: endpoints through which other streams are heard live; leaving them out allows shorter waits. A wait that ended late because this host stood still is no sign of death.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -64,6 +64,7 @@
     checked_at: float = 0.0
     pace: float = 1.0
     leave_deadline: float | None = None
+    heard_at: float = 0.0
     running: set[Running] = field(default_factory=set)
 
     @property
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -19,12 +19,13 @@
     from hemlockhall_router.connection.message import Response
     from hemlockhall_router.process.dialect import Dialect
     from hemlockhall_router.process.directory import Directory
+    from hemlockhall_router.request.running import Running
     from hemlockhall_router.version.endpoint import Endpoint, Report
 
 # Seconds in which an endpoint answers for its state unless it is dead or cut
 # off: the delay inside a region is about a millisecond, and a stream on a dead
 # endpoint has to go on elsewhere within its longest pause of 200 ms.
-ANSWER_S = 0.08
+ANSWER_S = 0.05
 # Seconds allowed where nobody waits: after an order, or for one already down.
 PATIENT_S = 0.4
 # Seconds between two questions to one endpoint, for each four hosts: all of them
@@ -35,12 +36,15 @@
 # nothing: under load streams pause although all endpoints live. It falls back
 # by itself, and at once when an endpoint is found dead or slow.
 CALM = 1.6
-CALM_MAX = 8.0
+CALM_MAX = 2.5
 CALM_FALL = 0.995
 # Seconds between two questions to an endpoint that is down or slow.
 SUSPECT_AGAIN_S = 1.0
+# Seconds after the end of a wait from which this host itself was slow: what it
+# missed then says nothing about the endpoint.
+OWN_DELAY_S = 0.03
 # Seconds between two looks at the streams under way.
-POLL_S = 0.025
+POLL_S = 0.02
 # Questions of one round from which it counts how many failed. If most do, it
 # is this host that is slow or cut off, and taking all endpoints out would turn
 # its own trouble into an outage.
@@ -97,9 +101,26 @@
         now = time.monotonic()
         self._calm = max(1.0, self._calm * CALM_FALL)
         for running in self._directory.running:
-            if running.silent(now, self._calm):
+            if not running.silent(now, self._calm):
+                continue
+            unheard = self._unheard(running, now)
+            if unheard:
                 running.doubted = True
-                self.doubt(running.ids)
+                self.doubt(unheard)
+
+    def _unheard(self, running: Running, now: float) -> list[str]:
+        """Return the endpoints of a silent stream through which no other is heard.
+
+        A stream also pauses where all of its endpoints live: one reads long
+        prompts, or has no memory left. The events of other streams show which
+        ones live; asking those would only add to their load.
+        """
+        found = []
+        for key in running.ids:
+            held = self._directory.held.get(key)
+            if held is not None and now - held.heard_at > running.quiet_s:
+                found.append(key)
+        return found
 
     def _due(self) -> list[str]:
         due = list(self._doubted)
@@ -130,10 +151,13 @@
         if held is None:
             return
         patience_s = PATIENT_S if held.down else ANSWER_S
+        deadline = time.monotonic() + patience_s
         try:
             report = await self.report(held.endpoint, patience_s)
         except WireError:
-            failed.append(key)
+            # This host was not running when the answer was due.
+            if time.monotonic() - deadline < OWN_DELAY_S:
+                failed.append(key)
             return
         except DecodeError as exc:
             # It answers; a plain service has no such call.
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -119,6 +119,7 @@
             self._tools.directory.succeeded(self.path.first.id, took)
             self._tools.metrics.first_event.record(took)
             self._occupied.read()
+        self._occupied.heard()
         self.running.heard(self._patience.quiet_pause_s)
 
     async def keep(self) -> None:
--- a/packages/router/src/hemlockhall_router/request/patience.py
+++ b/packages/router/src/hemlockhall_router/request/patience.py
@@ -12,7 +12,7 @@
 # another one, after which the endpoints of the path are asked whether they
 # live. What is left suffices to ask and to read the prompt elsewhere in time.
 QUIET_FIRST_PART = 0.3
-QUIET_PAUSE_PART = 0.35
+QUIET_PAUSE_PART = 0.25
 # Objectives and pauses after which a stream goes on elsewhere although all of
 # its endpoints answer. Slow endpoints are not left sooner: what they have read
 # would be read again, which makes all of them slower.
--- a/packages/router/src/hemlockhall_router/request/work.py
+++ b/packages/router/src/hemlockhall_router/request/work.py
@@ -155,6 +155,12 @@
         for held in self._held:
             held.unread -= self._tokens
 
+    def heard(self) -> None:
+        """Note that an event came through the endpoints."""
+        now = time.monotonic()
+        for held in self._held:
+            held.heard_at = now
+
     def exit(self) -> None:
         """Count it no more; once is enough."""
         if not self._entered:
--- /dev/null
+++ b/tests/router/test_prober.py
@@ -0,0 +1,63 @@
+"""Which endpoints are asked whether they live."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from hemlockhall_router.process.directory import Directory, Held
+from hemlockhall_router.process.prober import Prober
+from hemlockhall_router.request.running import Running
+from hemlockhall_router.version.endpoint import Endpoint
+from hemlockhall_standins.router.dialect import StandinDialect
+
+QUIET_S = 0.06
+
+
+@pytest.fixture()
+def directory() -> Directory:
+    made = Directory(StandinDialect().endpoint, lambda: 0.0, lambda: None)
+    for name in ("p1", "p2", "p3"):
+        made.held[name] = Held(Endpoint(name, "pool", "127.0.0.1", 1, "here"))
+    return made
+
+
+def silent(directory: Directory) -> Running:
+    running = Running(["p1", "p2", "p3"], QUIET_S, movable=True)
+    running.heard(QUIET_S)
+    running.heard_at -= 10 * QUIET_S
+    directory.running.add(running)
+    return running
+
+
+class TestDoubt:
+    def test_only_endpoints_that_no_stream_hears_are_asked(
+        self, directory: Directory
+    ) -> None:
+        """One of twelve endpoints on a path dies. All were asked, which took so
+        many questions under load that they were put off, and the streams there
+        went on elsewhere too late. The events of other streams show which of
+        the endpoints live."""
+        prober = Prober(StandinDialect(), directory, lambda: 1)
+        running = silent(directory)
+        now = time.monotonic()
+        directory.held["p1"].heard_at = directory.held["p3"].heard_at = now
+        prober._find_silent()
+        assert prober._due() == ["p2"]
+        assert running.doubted
+
+    def test_a_stream_that_waits_at_living_endpoints_is_looked_at_again(
+        self, directory: Directory
+    ) -> None:
+        prober = Prober(StandinDialect(), directory, lambda: 1)
+        running = silent(directory)
+        now = time.monotonic()
+        for held in directory.held.values():
+            held.heard_at = now
+        prober._find_silent()
+        assert prober._due() == []
+        directory.held["p2"].heard_at = now - 10 * QUIET_S
+        prober._find_silent()
+        assert prober._due() == ["p2"]
+        assert running.doubted
