--- a/packages/router/src/hemlockhall_router/policy/crowding.py
+++ b/packages/router/src/hemlockhall_router/policy/crowding.py
@@ -8,8 +8,7 @@
     from hemlockhall_router.process.directory import Held
     from hemlockhall_router.version.routing import Model
 
-# Milliseconds a token that a request is charged for each unit of crowding. At a
-# filling of 0.9 that is about the cost of a way to another data centre and back.
+# Milliseconds a token that a request is charged for each unit of crowding.
 CROWDED_MS = 3.0
 # Filling at which crowding has no bound; fillings beyond are charged by how far
 # they are beyond, so that the least overfull endpoint is the cheapest.
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -20,12 +20,10 @@
 # row: long enough for a restart of a process, short enough to try again soon.
 AVOID_S = 0.5
 AVOID_MAX_S = 4.0
-# Seconds an endpoint that has no room is left out: about as long as the next
-# request there takes to end.
+# Seconds an endpoint that has no room is left out; requests there end all the time.
 BUSY_S = 0.2
-# Seconds after which the streams on a leaving endpoint go on elsewhere. Half of
-# them have ended by then; the endpoint serves for 2 s at least, and a stream
-# that it breaks off is noticed later than one that is moved.
+# Seconds after which the streams on a leaving endpoint go on elsewhere: before it
+# breaks them off, which would be noticed late.
 MOVE_S = 0.8
 # Seconds between two groups of streams that are moved, and the part of the
 # streams in each: all at once find the memory of the other endpoints full.
--- a/packages/router/src/hemlockhall_router/process/hosts.py
+++ b/packages/router/src/hemlockhall_router/process/hosts.py
@@ -40,8 +40,8 @@
 
     from hemlockhall_router.process.watch import Watch
 
-# Seconds between two messages to each host: what is passed on must be in
-# force within 2 s, and each message costs about 0.2 ms of processor time.
+# Seconds between two messages to each host: what is passed on must be in force
+# within 2 s.
 INTERVAL_S = 0.25
 # Seconds until an unanswered message means that the connection is silent.
 ANSWER_S = 0.8
--- a/packages/router/src/hemlockhall_router/process/log.py
+++ b/packages/router/src/hemlockhall_router/process/log.py
@@ -15,8 +15,7 @@
 
     from hemlockhall_router.process.metric import Metrics
 
-# Lines of one kind in a second; a line costs about 0.1 ms of processor time,
-# so all kinds at once stay below a tenth of a core.
+# Lines of one kind in a second, so that logging stays below a tenth of a core.
 LINES_PER_S = 40
 # A line is written to a pipe whole or not at all up to this size.
 LINE_BYTES = 4000
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -36,7 +36,7 @@
 # Seconds without a new endpoint before the first plan: all appear within one
 # heartbeat, and a plan for half of them would have to be redone.
 SETTLE_S = 1.5
-# Seconds an order may take to be accepted: some milliseconds are usual.
+# Seconds an order may take to be accepted.
 ORDER_S = 0.3
 # Times that an order without an answer is given.
 ORDER_TRIES = 3
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -22,9 +22,8 @@
     from hemlockhall_router.request.running import Running
     from hemlockhall_router.version.endpoint import Endpoint, Report
 
-# Seconds in which an endpoint answers for its state unless it is dead or cut
-# off: the delay inside a region is about a millisecond, and a stream on a dead
-# endpoint has to go on elsewhere within its longest pause of 200 ms.
+# Seconds in which an endpoint answers for its state unless it is dead or cut off:
+# a stream there has to go on elsewhere within its route's longest pause.
 ANSWER_S = 0.05
 # Seconds allowed where nobody waits: after an order, or for one already down.
 PATIENT_S = 0.4
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -23,10 +23,9 @@
     from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
 
-# Seconds after the last path was lost for which requests wait for one. Layers of
-# a lost endpoint are loaded elsewhere in about a second, and a caller that is
-# refused comes back later than that. Requests that come later are refused at
-# once: nobody knows then when there will be a path.
+# Seconds after the last path was lost for which requests wait for one: layers of a
+# lost endpoint are soon loaded elsewhere, and a refused caller comes back later.
+# Requests that come later are refused at once: nobody knows when there is a path.
 RESTORE_S = 1.3
 # Part of the objective for which a request waits at any rate; an endpoint that
 # failed a moment ago is often back by then.
--- a/packages/router/src/hemlockhall_router/version/member.py
+++ b/packages/router/src/hemlockhall_router/version/member.py
@@ -10,14 +10,11 @@
 if TYPE_CHECKING:
     from hemlockhall_router.version.endpoint import Endpoint
 
-# Part of an endpoint's memory that layers fill in calm times. What is left holds
-# (1 / part - 1) x 119,000 tokens on the users' engines whatever the accelerator:
-# 51,000 here, while a data centre serves 45,000 at a time on a calm day. With
-# 0.65 fewer losses are mended without an interruption, with 0.75 requests wait
-# for memory; both served less on days with failures.
+# Part of an endpoint's memory that layers fill in calm times. More holds more
+# layers a second time, so that a loss interrupts less; less holds more requests.
 FILL = 0.7
-# The same when layers of a lost endpoint have to be taken over: 10,000 tokens,
-# about eight requests, until others have taken their part.
+# The same while layers of a lost endpoint are taken over: room for a few requests
+# until others have taken their part.
 FULL = 0.92
 
 
