--- /dev/null
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -0,0 +1,62 @@
+"""Endpoints of a large model, for tests of decisions that need no network."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hemlockhall_router.process.directory import Directory, Held
+from hemlockhall_router.version.endpoint import Endpoint
+from hemlockhall_router.version.routing import Accelerator, Model, Service
+
+if TYPE_CHECKING:
+    from hemlockhall_router.version.endpoint import LayerRange
+
+SERVICE = "pool"
+
+
+def large_model(accelerators: dict[str, Accelerator]) -> Model:
+    """Return a model of 80 layers that no single accelerator holds."""
+    return Model(
+        layers=80,
+        layer_mb=1750.0,
+        kv_bytes=1_180_000.0,
+        activation_bytes=59_000.0,
+        load_s=14.0,
+        step_ms=1.0,
+        sequence_ms=0.01,
+        read_per_s=164_000.0,
+        pipe_mbps=13_000.0,
+        accelerators=accelerators,
+        usual_prompt=775.0,
+        usual_answer=216.0,
+        loads_at_once=6,
+    )
+
+
+def service(model: Model) -> Service:
+    """Return the service that runs a model, with places for all tests need."""
+    return Service(SERVICE, "/", 100, slots=500, model=model)
+
+
+def directory() -> Directory:
+    """Return a directory that no store changes."""
+    return Directory(lambda key, value: None, lambda: 0.0, lambda: None)
+
+
+def enter(
+    known: Directory, name: str, place: str, accelerator: str, layers: LayerRange
+) -> Held:
+    """Enter an endpoint that holds layers, and return its entry."""
+    endpoint = Endpoint(
+        name, SERVICE, "10.0.0.1", 1, place, accelerator=accelerator, layers=layers
+    )
+    known.held[name] = Held(endpoint)
+    return known.held[name]
+
+
+__all__ = [
+    "directory",
+    "enter",
+    "large_model",
+    "service",
+]
--- a/tests/router/test_load_loss.py
+++ b/tests/router/test_load_loss.py
@@ -4,53 +4,35 @@
 
 import random
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import pytest
 
 from hemlockhall_router.policy.pipe import Pipes
 from hemlockhall_router.process.chooser import Chooser
-from hemlockhall_router.process.directory import Directory, Held
-from hemlockhall_router.version.endpoint import Endpoint, LayerRange
-from hemlockhall_router.version.routing import Accelerator, Model, Service
+from hemlockhall_router.version.endpoint import LayerRange
+from hemlockhall_router.version.routing import Accelerator
+from hemlockhall_standins.router.pool import directory, enter, large_model, service
 
-MODEL = Model(
-    layers=80,
-    layer_mb=1750.0,
-    kv_bytes=1_180_000.0,
-    activation_bytes=59_000.0,
-    load_s=14.0,
-    step_ms=1.0,
-    sequence_ms=0.01,
-    read_per_s=164_000.0,
-    pipe_mbps=13_000.0,
-    accelerators={
-        "fast": Accelerator(400_000.0, 2.4, 3.2),
-        "slow": Accelerator(400_000.0, 3.6, 3.2),
-    },
-    usual_prompt=775.0,
-    usual_answer=216.0,
-)
-SERVICE = Service("pool", "/", 100, slots=500, model=MODEL)
+if TYPE_CHECKING:
+    from hemlockhall_router.process.directory import Directory
+
+KINDS = {
+    "fast": Accelerator(400_000.0, 2.4, 3.2),
+    "slow": Accelerator(400_000.0, 3.6, 3.2),
+}
+SERVICE = service(large_model(KINDS))
 HOSTS = 4
 STREAMS = 60
 TOKENS = 1000
 
 
-def directory() -> Directory:
+def three_endpoints() -> Directory:
     """Return three endpoints with all layers, one of them faster."""
-    made = Directory(lambda key, value: None, lambda: 0.0, lambda: None)
+    known = directory()
     for name, kind in (("p1", "fast"), ("p2", "slow"), ("p3", "slow")):
-        endpoint = Endpoint(
-            name,
-            "pool",
-            "10.0.0.1",
-            1,
-            "x",
-            accelerator=kind,
-            layers=LayerRange(0, 80),
-        )
-        made.held[name] = Held(endpoint)
-    return made
+        enter(known, name, "x", kind, LayerRange(0, 80))
+    return known
 
 
 def unread(seed: int, hosts_known: int) -> Counter[str]:
@@ -58,7 +40,7 @@
     random.seed(seed)
     placed: Counter[str] = Counter()
     for _ in range(HOSTS):
-        known = directory()
+        known = three_endpoints()
         pipes = Pipes(lambda: hosts_known)
         chooser = Chooser(known, "x", pipes, lambda: hosts_known)
         for _ in range(STREAMS // HOSTS):
--- a/tests/router/test_load_pipe.py
+++ b/tests/router/test_load_pipe.py
@@ -3,31 +3,22 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import pytest
 
 from hemlockhall_router.policy.pipe import Pipes, transfer_s
 from hemlockhall_router.process.chooser import Chooser
-from hemlockhall_router.process.directory import Directory, Held
-from hemlockhall_router.version.endpoint import Endpoint, LayerRange
-from hemlockhall_router.version.path import Path
-from hemlockhall_router.version.routing import Accelerator, Model, Service
-
-MODEL = Model(
-    layers=80,
-    layer_mb=1750.0,
-    kv_bytes=1_180_000.0,
-    activation_bytes=59_000.0,
-    load_s=14.0,
-    step_ms=1.0,
-    sequence_ms=0.01,
-    read_per_s=164_000.0,
-    pipe_mbps=13_000.0,
-    accelerators={"fast": Accelerator(160_000.0, 1.0, 1.0)},
-    usual_prompt=775.0,
-    usual_answer=216.0,
-)
-SERVICE = Service("pool", "/", 100, slots=500, model=MODEL)
+from hemlockhall_router.version.endpoint import LayerRange
+from hemlockhall_router.version.routing import Accelerator
+from hemlockhall_standins.router.pool import directory, enter, large_model, service
+
+if TYPE_CHECKING:
+    from hemlockhall_router.process.directory import Directory
+    from hemlockhall_router.version.path import Path
+
+MODEL = large_model({"fast": Accelerator(160_000.0, 1.0, 1.0)})
+SERVICE = service(MODEL)
 # Data centre x holds the first half of the layers, y the second, z a whole copy
 # that other requests fill already.
 LAYOUT = {"x": LayerRange(0, 40), "y": LayerRange(40, 80), "z": LayerRange(0, 80)}
@@ -47,15 +38,13 @@
         return self.now
 
 
-def directory() -> Directory:
-    made = Directory(lambda key, value: None, lambda: 0.0, lambda: None)
+def broken_copies() -> Directory:
+    """Return the endpoints of ``LAYOUT``."""
+    known = directory()
     for place, layers in LAYOUT.items():
-        endpoint = Endpoint(
-            place, "pool", "10.0.0.1", 1, place, accelerator="fast", layers=layers
-        )
-        made.held[place] = Held(endpoint)
-    made.held["z"].tokens_elsewhere = 8_000
-    return made
+        enter(known, place, place, "fast", layers)
+    known.held["z"].tokens_elsewhere = 8_000
+    return known
 
 
 def played(seed: int, hosts_known: int) -> list[tuple[float, Path]]:
@@ -65,7 +54,7 @@
     choosers = []
     for _ in range(HOSTS):
         pipes = Pipes(lambda: hosts_known, clock)
-        choosers.append((Chooser(directory(), "x", pipes, lambda: HOSTS), pipes))
+        choosers.append((Chooser(broken_copies(), "x", pipes, lambda: HOSTS), pipes))
     chosen = []
     for number in range(PER_S * SECONDS):
         clock.now = 100.0 + number / PER_S
@@ -102,7 +91,7 @@
     def test_a_host_alone_uses_the_pipe_again_when_it_is_free(self) -> None:
         clock = Clock()
         pipes = Pipes(lambda: 1, clock)
-        chooser = Chooser(directory(), "x", pipes, lambda: HOSTS)
+        chooser = Chooser(broken_copies(), "x", pipes, lambda: HOSTS)
         path = chooser.path(SERVICE, set(), size=TOKENS)
         pipes.send(path, MODEL, 100_000)
         assert len(chooser.path(SERVICE, set(), size=TOKENS).parts) == 1
