Let tests listen below the ports of outgoing connections

Ruled out: a router left from an earlier test (each has its own ports). Change: free_port chooses from 20000 to 31999, which the system does not give out.

--- a/packages/standins/src/hemlockhall_standins/router/hall.py
+++ b/packages/standins/src/hemlockhall_standins/router/hall.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 import time
 from collections.abc import AsyncIterator
@@ -38,13 +39,24 @@
 # does not fail a test that asserts no time.
 WAIT_S = 20.0
 HOST = "hall.example"
+# Ports of loopback for listening: the first, and the one after the last.
+PORTS = (20_000, 32_000)
 
 
 def free_port() -> int:
-    """Return a port of loopback that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port of loopback that nobody listens on.
+
+    It lies below those that the system gives to outgoing connections: one of
+    these could be taken by a connection before the caller listens on it.
+    """
+    while True:
+        port = random.randrange(*PORTS)  # noqa: S311
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 @dataclass
--- a/tests/core/connection/test_link.py
+++ b/tests/core/connection/test_link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from dataclasses import dataclass, field
 
 import anyio
@@ -12,6 +11,7 @@
 from hemlockhall_core.connection.link import Handler, Link
 from hemlockhall_core.connection.peer import Peer, Timing
 from hemlockhall_core.process.metric import Metrics
+from hemlockhall_standins.router.hall import free_port
 
 pytestmark = pytest.mark.anyio
 
@@ -36,15 +36,9 @@
         """There is no document."""
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def make_link(name: str) -> tuple[Link, Inbox]:
     inbox = Inbox()
-    address = free_address()
+    address = f"127.0.0.1:{free_port()}"
     return Link(name, address, address, inbox, Metrics(), Timing()), inbox
 
 
