Let a few hubs in each data centre follow the store, and pass rows on once

Traced with all logs: from the moment the configuration has 1,200 routes and changes each 1.5 s only the hosts with links of 10 Mbit/s fail: they find living endpoints down (744 times), connect too late, and take a version 3 to 5 s after it was accepted. Ruled out: lost endpoints (none is down from 27 to 31 s), the processor (0.07 cores on average), the large hosts (none of them is among those that fail). The first hosts of a data centre by rank are its hubs; hosts report to them and get digests, hubs tell each other summaries, all in datagrams; one hub a data centre (three hosts at least) follows the store, the others fetch what is newer once, packed, over TCP. Whoever is not told what the store holds asks it itself. Loads of other hosts pass through hubs. Timeouts that answer a bound of the deployment are derived from it.

--- a/packages/router/src/hemlockhall_router/connection/link.py
+++ b/packages/router/src/hemlockhall_router/connection/link.py
@@ -1,8 +1,9 @@
-"""Messages between entry hosts: MessagePack with a length in front."""
+"""Rows between hosts: packed MessagePack with a length in front, over TCP."""
 
 from __future__ import annotations
 
 import time
+import zlib
 from typing import TYPE_CHECKING
 
 import anyio
@@ -14,8 +15,11 @@
     from anyio.abc import SocketStream
 
 LENGTH_BYTES = 4
-# Larger than any table of the store that is passed on.
+# Larger than any table of the store that is passed on; a message must stay below
+# it before and after it is unpacked.
 MESSAGE_BYTES = 16 * 1024 * 1024
+# Configurations shrink to a tenth; hosts may have links of 10 Mbit/s.
+COMPRESSION = 1
 
 
 class LinkError(WireError):
@@ -31,6 +35,13 @@
     deleted: bool
 
 
+class Fetch(msgspec.Struct, frozen=True, tag="fetch"):
+    """Asks for the rows of a table that changed after a version."""
+
+    table: str
+    after: int
+
+
 class Delta(msgspec.Struct, frozen=True, tag="delta"):
     """Rows that the receiver lacks; ``whole`` if these are all of them."""
 
@@ -40,36 +51,7 @@
     rows: list[PassedRow]
 
 
-class Status(msgspec.Struct, frozen=True, tag="status"):
-    """What a host tells the others of itself.
-
-    ``versions`` are of its copies of the store's tables, ``loads`` its
-    requests at each endpoint and ``tokens`` the tokens of these, ``fence`` the
-    planning lease that it holds or 0, ``peers`` the addresses of the hosts that
-    it hears, ``down`` the endpoints that do not answer it, ``steady`` whether
-    it has the store and has not lost it lately.
-    """
-
-    name: str
-    address: str
-    boot: str
-    versions: dict[str, int]
-    loads: dict[str, int]
-    tokens: dict[str, int]
-    fence: int
-    leaving: bool
-    peers: list[str]
-    down: list[str]
-    steady: bool
-
-
-class Ack(msgspec.Struct, frozen=True, tag="ack"):
-    """A message has arrived at a host with these versions of the tables."""
-
-    versions: dict[str, int]
-
-
-Message = Delta | Status | Ack
+Message = Fetch | Delta
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Message)
@@ -93,7 +75,7 @@
 
     async def send(self, message: Message, deadline: float) -> None:
         """Send a message."""
-        body = _encoder.encode(message)
+        body = zlib.compress(_encoder.encode(message), COMPRESSION)
         data = len(body).to_bytes(LENGTH_BYTES, "big") + body
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
@@ -107,9 +89,10 @@
         length = int.from_bytes(body, "big")
         if length > MESSAGE_BYTES:
             raise LinkError("a message is too large")
+        data = await self._take(length, deadline)
         try:
-            return _decoder.decode(await self._take(length, deadline))
-        except msgspec.DecodeError as exc:
+            return _decoder.decode(_unpacked(data))
+        except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as exc:
             raise LinkError(f"a message cannot be read: {exc}") from exc
 
     async def _take(self, count: int, deadline: float) -> bytes:
@@ -128,18 +111,38 @@
         del self._buffer[:count]
         return taken
 
+    async def ended(self, deadline: float) -> None:
+        """Return when the other side has closed the connection."""
+        try:
+            with anyio.move_on_after(max(0.0, deadline - time.monotonic())):
+                await self._stream.receive()
+        except (
+            OSError,
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return
+
     async def close(self) -> None:
         """Close the connection."""
         with anyio.CancelScope(shield=True):
             await anyio.aclose_forcefully(self._stream)
 
 
+def _unpacked(data: bytes) -> bytes:
+    unpacker = zlib.decompressobj()
+    body = unpacker.decompress(data, MESSAGE_BYTES)
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise LinkError("a message is too large or not whole")
+    return body
+
+
 __all__ = [
-    "Ack",
     "Delta",
+    "Fetch",
     "Link",
     "LinkError",
     "Message",
     "PassedRow",
-    "Status",
 ]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -0,0 +1,412 @@
+"""The other hosts: what they know that this one does not, and their load.
+
+A host that the store turns away would go on with an old configuration, a
+withdrawn key or a leaving endpoint, and hundreds of hosts that follow the store
+would cost more than the requests. The hubs follow it, and everybody else
+fetches from a hub what the hub has newer. Versions come from the store's one
+counter, so a copy at a version is the same wherever it came from, and an older
+one never replaces a newer one.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+from loguru import logger
+
+from hemlockhall_router.connection.error import WireError
+from hemlockhall_router.connection.link import Delta, Fetch, Link, PassedRow
+from hemlockhall_router.membership.count import Count
+from hemlockhall_router.membership.exchange import Exchange
+from hemlockhall_router.membership.message import (
+    Copy,
+    Message,
+    MessageError,
+    decode,
+    encode,
+)
+from hemlockhall_router.process.store import (
+    ConditionError,
+    Row,
+    Store,
+    StoreError,
+    Table,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import SocketStream, TaskGroup, UDPSocket
+
+    from hemlockhall_router.membership.exchange import Own
+    from hemlockhall_router.membership.message import Contact, Load
+    from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.process.timing import Timing
+    from hemlockhall_router.process.watch import Watch
+
+# Seconds in which a host hands over rows; one that does not is cut off or frozen.
+FETCH_S = 0.8
+# Seconds a host that follows the store itself waits before it fetches rows from
+# another one: it gets them from the store at the same time.
+BEHIND_S = 0.15
+# Times that copies are confirmed in the time in which they grow stale.
+CONFIRMATIONS = 3
+# Part of that time after which the least patient host asks the store. Were all as
+# patient, all of them would ask before they hear of the first one's answer.
+PATIENCE_LEAST = 0.8
+# Seconds between readings of the table of hosts while nobody is heard.
+ALONE_S = 4.0
+REGISTER_AGAIN_S = 1.0
+# Seconds that stand for a copy that nobody ever confirmed.
+AGE_MAX_S = 3600.0
+# Seconds between two lines on datagrams that cannot be read.
+BAD_AGAIN_S = 1.0
+
+
+class HostRow(msgspec.Struct):
+    """A row of the table of hosts."""
+
+    address: str
+
+
+class Hosts:
+    """Messages from and to the other hosts.
+
+    Parameters
+    ----------
+    own : Contact
+        This host.
+    seeds : list of str
+        Addresses to begin with.
+    store : Store
+        Keeps the table of hosts.
+    timing : Timing
+        Intervals, and when a host counts as dead.
+    describe : callable
+        Returns what this host says of itself.
+    suspect : callable
+        Called with the keys of endpoints that another host finds down.
+    metrics : Metrics
+        Counts what was dropped.
+    """
+
+    def __init__(
+        self,
+        own: Contact,
+        seeds: list[str],
+        store: Store,
+        timing: Timing,
+        describe: Callable[[], Own],
+        suspect: Callable[[list[int]], None],
+        metrics: Metrics,
+    ) -> None:
+        self._own = own
+        self._store = store
+        self._timing = timing
+        self._suspect = suspect
+        self._metrics = metrics
+        self._exchange = Exchange(
+            own, seeds, timing, describe, self._copies, self._post
+        )
+        self._watches: dict[str, Watch] = {}
+        self._count = Count()
+        self._patience = random.uniform(PATIENCE_LEAST, 1.0)  # noqa: S311
+        self._behind: dict[str, float] = {}
+        self._fetching: set[str] = set()
+        self._outbox: list[tuple[bytes, str]] = []
+        self._wake = anyio.Event()
+        self._bad_at = float("-inf")
+        self._group: TaskGroup | None = None
+
+    def passes_on(self, watch: Watch) -> None:
+        """Fetch from others what a copy lacks, and hand it over to them."""
+        self._watches[watch.table.value] = watch
+
+    async def run(self) -> None:
+        """Talk to the other hosts until cancelled."""
+        host, _, port = self._own.address.rpartition(":")
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._register)
+            udp = await anyio.create_udp_socket(local_host=host, local_port=int(port))
+            listener = await anyio.create_tcp_listener(
+                local_host=host, local_port=int(port)
+            )
+            group.start_soon(self._rounds)
+            group.start_soon(self._send, udp)
+            group.start_soon(self._receive, udp)
+            await listener.serve(self._hand_over, group)
+
+    def wanted(self) -> bool:
+        """Return whether this host should ask the store itself.
+
+        Those that follow it do, and a host to which nobody confirms its copies.
+        """
+        if self._exchange.follows() or not self._known():
+            return True
+        oldest = time.monotonic() - self._timing.stale_s * self._patience
+        return any(watch.confirmed_at < oldest for watch in self._watches.values())
+
+    def appointed(self) -> bool:
+        """Return whether others rely on what this host gets from the store."""
+        return self._exchange.follows()
+
+    def wait_s(self) -> float:
+        """Return for how long one call for changes waits at the store.
+
+        The calls of all that follow it confirm the copies of the others
+        several times before one of them grows stale.
+        """
+        if not self.heard():
+            return self._timing.feed_alone_s
+        followers = self._exchange.followers()
+        if followers >= self.count():
+            return self._timing.feed_s
+        if not self._exchange.follows():
+            return 0.0
+        shared_s = self._timing.stale_s * followers / CONFIRMATIONS
+        return min(self._timing.feed_s, shared_s)
+
+    def _known(self) -> bool:
+        """Return whether this host has copies, and hears where newer ones are."""
+        if any(watch.version == 0 for watch in self._watches.values()):
+            return False
+        return self.heard()
+
+    @property
+    def hub(self) -> bool:
+        """Whether this host is a hub of its data centre."""
+        return self._exchange.roster.is_hub(time.monotonic())
+
+    def heard(self) -> bool:
+        """Return whether another host is heard."""
+        return bool(self._exchange.roster.live(time.monotonic()))
+
+    def count(self) -> int:
+        """Return the most hosts that may be there, with this one."""
+        return self._count.hosts(self._exchange.places(), time.monotonic())
+
+    def sharers(self) -> int:
+        """Return the number of hosts that share a pipe between two data centres."""
+        return min(self.count(), 2 * self.near())
+
+    def near(self) -> int:
+        """Return the number of hosts in this data centre, with this one."""
+        for place in self._exchange.places():
+            if place.name == self._own.place:
+                return max(1, place.hosts)
+        return 1
+
+    def loads(self) -> dict[int, Load]:
+        """Return the other hosts' loads by the endpoint's key."""
+        return self._exchange.loads()
+
+    def fence(self) -> int:
+        """Return the newest planning lease that a live host claims."""
+        return max(place.fence for place in self._exchange.places())
+
+    def another_steady(self) -> bool:
+        """Return whether a live host has had the store all the while."""
+        return self._exchange.another_steady()
+
+    def staying(self) -> bool:
+        """Return whether another host is heard that does not leave."""
+        own = 0 if self._exchange.own.leaving else 1
+        return sum(place.staying for place in self._exchange.places()) > own
+
+    def first(self) -> bool:
+        """Return whether this host's name is the first of those that stay."""
+        names = [place.first for place in self._exchange.places() if place.first]
+        return not names or self._own.name <= min(names)
+
+    def changed(self) -> None:
+        """Tell the others at once that a copy of a table is newer."""
+        self._exchange.push()
+
+    def _copies(self) -> list[Copy]:
+        return [copy_of(watch) for watch in self._watches.values()]
+
+    def _post(self, address: str, message: Message) -> None:
+        self._outbox.append((encode(message), address))
+        self._wake.set()
+
+    async def _rounds(self) -> None:
+        while True:
+            self._exchange.round()
+            await anyio.sleep(self._timing.round_s)
+
+    async def _send(self, udp: UDPSocket) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            outbox, self._outbox = self._outbox, []
+            for data, address in outbox:
+                host, _, port = address.rpartition(":")
+                try:
+                    await udp.sendto(data, host, int(port))
+                except OSError as exc:
+                    # A datagram may be lost anyway; the next round repeats it.
+                    logger.debug("datagram not sent", address=address, cause=str(exc))
+
+    async def _receive(self, udp: UDPSocket) -> None:
+        while True:
+            try:
+                data, _ = await udp.receive()
+            except OSError as exc:
+                # An earlier datagram met a closed port.
+                logger.debug("datagram refused", cause=str(exc))
+                continue
+            try:
+                message = decode(data)
+            except MessageError as exc:
+                self._bad(str(exc))
+                continue
+            self._exchange.heard(message)
+            if message.down:
+                self._suspect(message.down)
+            self._compare(message)
+
+    def _bad(self, cause: str) -> None:
+        self._metrics.count("messages_dropped", "unreadable")
+        now = time.monotonic()
+        if now - self._bad_at > BAD_AGAIN_S:
+            self._bad_at = now
+            logger.warning("message of a host dropped", cause=cause)
+
+    def _compare(self, message: Message) -> None:
+        """Fetch from the sender what its copies have newer."""
+        now = time.monotonic()
+        for copy in message.copies:
+            watch = self._watches.get(copy.table)
+            if watch is None:
+                continue
+            if not watch.confirm(copy.changed, copy.complete, now - copy.age_ms / 1000):
+                self._behind.pop(copy.table, None)
+                continue
+            since = self._behind.setdefault(copy.table, now)
+            if watch.reached and now - since < BEHIND_S:
+                continue
+            if copy.table not in self._fetching and self._group is not None:
+                self._fetching.add(copy.table)
+                self._group.start_soon(self._fetch, watch, message.sender.address)
+
+    async def _fetch(self, watch: Watch, address: str) -> None:
+        table = watch.table.value
+        host, _, port = address.rpartition(":")
+        deadline = time.monotonic() + FETCH_S
+        try:
+            link = await Link.open(host, int(port), deadline)
+            try:
+                await link.send(Fetch(table, watch.version), deadline)
+                answer = await link.receive(deadline)
+            finally:
+                await link.close()
+            if isinstance(answer, Delta) and answer.table == table:
+                self._take(watch, answer, address)
+        except WireError as exc:
+            logger.info("rows not fetched", table=table, host=address, cause=str(exc))
+        finally:
+            self._fetching.discard(table)
+
+    def _take(self, watch: Watch, delta: Delta, address: str) -> None:
+        if delta.version <= watch.version:
+            return
+        rows = [Row(r.key, r.value, r.version, r.deleted) for r in delta.rows]
+        logger.info(
+            "rows from another host",
+            table=delta.table,
+            source=address,
+            version=delta.version,
+            had=watch.version,
+            rows=len(rows),
+        )
+        if delta.whole:
+            watch.replace(rows, delta.version)
+        else:
+            watch.apply(rows, delta.version)
+
+    async def _hand_over(self, stream: SocketStream) -> None:
+        """Answer one request for rows."""
+        link = Link(stream)
+        deadline = time.monotonic() + FETCH_S
+        try:
+            message = await link.receive(deadline)
+            watch = None
+            if isinstance(message, Fetch):
+                watch = self._watches.get(message.table)
+            if watch is None or not isinstance(message, Fetch):
+                self._bad(f"no table for {message!r:.100}")
+                return
+            whole, rows = watch.since(message.after)
+            passed = [PassedRow(r.key, r.value, r.version, r.deleted) for r in rows]
+            await link.send(
+                Delta(message.table, watch.version, whole, passed), deadline
+            )
+            # The other side closes once it has everything.
+            await link.ended(deadline)
+        except WireError as exc:
+            logger.info("rows not handed over", cause=str(exc))
+        finally:
+            await link.close()
+
+    async def _register(self) -> None:
+        """Enter this host in the table, and read it while nobody is heard."""
+        version: int | None = None
+        known = False
+        while True:
+            try:
+                deadline = time.monotonic() + 1.0
+                if version is None:
+                    version = await self._enter(deadline)
+                if not known or not self.heard():
+                    page = await self._store.read(Table.HOSTS, deadline)
+                    for row in page.rows:
+                        self._meet(row)
+                    self._count.at_least(len(page.rows))
+                    known = True
+            except StoreError as exc:
+                logger.info("table of hosts not reached", cause=str(exc))
+            again_s = REGISTER_AGAIN_S if version is None else ALONE_S
+            await anyio.sleep(again_s)
+
+    async def _enter(self, deadline: float) -> int:
+        value = msgspec.json.encode(HostRow(self._own.address))
+        expected = 0
+        while True:
+            try:
+                written = await self._store.write(
+                    Table.HOSTS, self._own.name, value, expected, deadline
+                )
+                return written.version
+            except ConditionError as exc:
+                if exc.row is None or exc.row.version == expected:
+                    raise
+                if exc.row.value == value:
+                    return exc.row.version
+                expected = exc.row.version
+
+    def _meet(self, row: Row) -> None:
+        try:
+            entry = msgspec.json.decode(row.value, type=HostRow)
+        except msgspec.DecodeError:
+            logger.warning("row of a host cannot be read", host=row.key)
+            return
+        if row.key != self._own.name:
+            self._exchange.meet(entry.address)
+
+
+def copy_of(watch: Watch) -> Copy:
+    """Return how far a copy is, as a message says it."""
+    age_s = time.monotonic() - watch.confirmed_at
+    age_ms = int(min(age_s, AGE_MAX_S) * 1000)
+    return Copy(watch.table.value, watch.changed, watch.version, age_ms)
+
+
+__all__ = [
+    "Hosts",
+    "copy_of",
+]
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -0,0 +1,157 @@
+"""Datagrams between hosts: MessagePack, each with the number of its protocol."""
+
+from __future__ import annotations
+
+import zlib
+
+import msgspec
+
+# Raised with each change of the messages that an older host would misread.
+PROTOCOL = 1
+# Bytes of the largest datagram; longer ones are fragmented, and lost with any
+# of their fragments.
+DATAGRAM_BYTES = 1400
+
+
+class MessageError(Exception):
+    """A datagram cannot be used; the text says why."""
+
+
+class Contact(msgspec.Struct, frozen=True, array_like=True):
+    """A host as others can reach it.
+
+    ``power`` ranks hosts, ``boot`` names this run of its process, ``age_ms`` is
+    the time since the sender knew that it lives.
+    """
+
+    name: str
+    address: str
+    place: str
+    power: int
+    boot: str
+    leaving: bool = False
+    age_ms: int = 0
+
+
+class Copy(msgspec.Struct, frozen=True, array_like=True):
+    """How far a host's copy of a table of the store is.
+
+    ``changed`` is the version of the newest change in it and ``complete`` the
+    version up to which no change is missing. The store, or a host that had it
+    from there, said so ``age_ms`` ago.
+    """
+
+    table: str
+    changed: int
+    complete: int
+    age_ms: int
+
+
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Requests at an endpoint, named by its key.
+
+    ``tokens`` are those of the requests and ``unread`` those of requests
+    without an event so far; an event came through it ``heard_ms`` ago.
+    """
+
+    endpoint: int
+    requests: int
+    tokens: int
+    unread: int
+    heard_ms: int
+
+
+class Place(msgspec.Struct, frozen=True, array_like=True):
+    """The hosts of a data centre together.
+
+    ``staying`` counts those that do not leave, and ``first`` is the lowest of
+    their names. ``fence`` is the newest planning lease that one of them holds,
+    or 0. ``steady`` tells whether one has had the store all the while.
+    """
+
+    name: str
+    hosts: int
+    staying: int
+    first: str
+    fence: int
+    steady: bool
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What each message carries.
+
+    ``loads`` are the sender's own, or those of the hosts that it speaks for.
+    ``down`` holds keys of endpoints that do not answer, ``contacts`` hosts that
+    the receiver may not know.
+    """
+
+    protocol: int = PROTOCOL
+    sender: Contact
+    copies: list[Copy]
+    loads: list[Load]
+    down: list[int]
+    contacts: list[Contact]
+
+
+class Report(Message, frozen=True, array_like=True, kw_only=True, tag="report"):
+    """A host to a hub: about itself."""
+
+    fence: int
+    steady: bool
+
+
+class Digest(Message, frozen=True, array_like=True, kw_only=True, tag="digest"):
+    """The answer to a report: about all others."""
+
+    places: list[Place]
+
+
+class Summary(Message, frozen=True, array_like=True, kw_only=True, tag="summary"):
+    """A hub to the hubs of another data centre: about its own."""
+
+    place: Place
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Report | Digest | Summary)
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as bytes."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Report | Digest | Summary:
+    """Return the message in a datagram, or raise ``MessageError``."""
+    try:
+        message = _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise MessageError(f"a datagram cannot be read: {exc}") from exc
+    if message.protocol != PROTOCOL:
+        raise MessageError(
+            f"protocol {message.protocol} is not {PROTOCOL}; update the older host"
+        )
+    return message
+
+
+def endpoint_key(endpoint_id: str) -> int:
+    """Return the number that stands for an endpoint in messages."""
+    return zlib.crc32(endpoint_id.encode())
+
+
+__all__ = [
+    "DATAGRAM_BYTES",
+    "PROTOCOL",
+    "Contact",
+    "Copy",
+    "Digest",
+    "Load",
+    "Message",
+    "MessageError",
+    "Place",
+    "Report",
+    "Summary",
+    "decode",
+    "encode",
+    "endpoint_key",
+]
--- a/packages/router/src/hemlockhall_router/policy/crowding.py
+++ b/packages/router/src/hemlockhall_router/policy/crowding.py
@@ -55,13 +55,15 @@
     """Return the milliseconds for which one layer reads the prompts sent there.
 
     Streams of a lost endpoint go on elsewhere all at once, at all hosts, before
-    any of them can tell the others. Each counts as if the others sent what it
-    sends; otherwise all these prompts queue at the fastest endpoint.
+    any of them can tell the others. Each counts as if the ``hosts`` of its data
+    centre sent what it sends, or by what the others say if that is more;
+    otherwise all these prompts queue at the fastest endpoint.
     """
     accelerator = model.accelerators.get(held.endpoint.accelerator)
     if accelerator is None or not model.read_per_s:
         return 0.0
-    tokens = held.unread * hosts + size
+    unread = max(held.unread * hosts, held.unread_elsewhere)
+    tokens = unread + size
     read_ms = tokens * accelerator.read_factor * held.pace / model.read_per_s * 1000
     return read_ms / model.layers
 
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -9,10 +9,14 @@
 
 from loguru import logger
 
+from hemlockhall_router.membership.message import Load, endpoint_key
+from hemlockhall_router.membership.tally import UNHEARD_MS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from hemlockhall_router.process.store import Row
+    from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.request.running import Running
     from hemlockhall_router.version.endpoint import Endpoint, Report
 
@@ -22,19 +26,17 @@
 AVOID_MAX_S = 4.0
 # Seconds an endpoint that has no room is left out; requests there end all the time.
 BUSY_S = 0.2
-# Seconds after which the streams on a leaving endpoint go on elsewhere: before it
-# breaks them off, which would be noticed late.
-MOVE_S = 0.8
-# Seconds between two groups of streams that are moved, and the part of the
-# streams in each: all at once find the memory of the other endpoints full.
-MOVE_AGAIN_S = 0.25
+# Part of the streams on a leaving endpoint that go on elsewhere together: all at
+# once find the memory of the other endpoints full.
 MOVE_PART = 0.35
-# Seconds before a stream that found no room elsewhere is asked again.
-ASK_AGAIN_S = 0.7
 # Weight of the newest value in moving averages.
 SMOOTHING = 0.2
 # Change of an endpoint's pace that is acted on.
 PACE_STEP = 0.3
+# Seconds after an endpoint was found down from which an event that came through it
+# at another host shows that it lives: messages between hosts take a while.
+HEARD_AFTER_S = 0.3
+NO_LOAD = Load(0, 0, 0, 0, UNHEARD_MS)
 # Latency assumed of an endpoint that has not answered yet, in seconds.
 UNKNOWN_S = 0.1
 
@@ -44,8 +46,10 @@
     """An endpoint, and what this host has seen of it.
 
     ``tokens`` are those of its requests, ``unread`` those of the requests without
-    an event so far, whose prompts it still reads; ``elsewhere`` and
-    ``tokens_elsewhere`` are the requests and tokens of other hosts there.
+    an event so far, whose prompts it still reads; ``elsewhere``,
+    ``tokens_elsewhere`` and ``unread_elsewhere`` are the same of other hosts there.
+    An event came through it at ``heard_at``, here or at another host, and here at
+    ``heard_here_at``.
     """
 
     endpoint: Endpoint
@@ -54,15 +58,19 @@
     unread: int = 0
     elsewhere: int = 0
     tokens_elsewhere: int = 0
+    unread_elsewhere: int = 0
     failures: int = 0
     avoid_deadline: float = 0.0
     vanished_deadline: float | None = None
     latency_s: float = UNKNOWN_S
     down: bool = False
+    down_at: float = 0.0
     checked_at: float = 0.0
     pace: float = 1.0
     leave_deadline: float | None = None
+    key: int = 0
     heard_at: float = 0.0
+    heard_here_at: float = 0.0
     running: set[Running] = field(default_factory=set)
 
     @property
@@ -102,19 +110,19 @@
     outage : callable
         Returns the monotonic time until which a missing entry may come back,
         or 0 if the store was there all the while.
-    changed : callable
-        Called after each change.
+    timing : Timing
+        When the streams of a leaving endpoint go on elsewhere.
     """
 
     def __init__(
         self,
         decode: Callable[[str, bytes], Endpoint | None],
         outage: Callable[[], float],
-        changed: Callable[[], None],
+        timing: Timing,
     ) -> None:
         self._decode = decode
         self._outage = outage
-        self._changed = changed
+        self._timing = timing
         self.held: dict[str, Held] = {}
         self.running: set[Running] = set()
         self.version = 0
@@ -135,7 +143,7 @@
     def _put(self, endpoint: Endpoint) -> None:
         held = self.held.get(endpoint.id)
         if held is None:
-            self.held[endpoint.id] = Held(endpoint)
+            self.held[endpoint.id] = Held(endpoint, key=endpoint_key(endpoint.id))
             logger.info(
                 "endpoint appeared",
                 endpoint=endpoint.id,
@@ -153,7 +161,7 @@
             held.down = False
             held.pace = 1.0
         if endpoint.draining and held.leave_deadline is None:
-            held.leave_deadline = time.monotonic() + MOVE_S
+            held.leave_deadline = time.monotonic() + self._timing.move_s
         if old.draining != endpoint.draining or old.layers != endpoint.layers:
             logger.info(
                 "endpoint changed",
@@ -181,7 +189,9 @@
         if held.running:
             # Some endpoints leave without a word and serve on as long as the
             # others do.
-            held.leave_deadline = held.leave_deadline or time.monotonic() + MOVE_S
+            held.leave_deadline = (
+                held.leave_deadline or time.monotonic() + self._timing.move_s
+            )
             self._departed.append(held)
         logger.info("endpoint gone", endpoint=key, cause=cause)
 
@@ -195,13 +205,12 @@
                 self._bump()
         for held in (*self.held.values(), *self._departed):
             if held.leave_deadline is not None and now >= held.leave_deadline:
-                held.leave_deadline = now + MOVE_AGAIN_S
-                _move_some(held, "endpoint leaves", now)
+                held.leave_deadline = now + self._timing.move_again_s
+                self._move_some(held, "endpoint leaves", now)
         self._departed = [held for held in self._departed if held.running]
 
     def _bump(self) -> None:
         self.version += 1
-        self._changed()
 
     def usable(self, service: str) -> list[Held]:
         """Return the endpoints of a service that new requests may use."""
@@ -263,6 +272,7 @@
         if held is None or held.down == down:
             return
         held.down = down
+        held.down_at = time.monotonic()
         logger.warning(
             "endpoint down" if down else "endpoint back",
             endpoint=key,
@@ -299,11 +309,29 @@
         held = self.held.get(key)
         return held is not None and held.suspect
 
-    def set_elsewhere(self, counts: dict[str, int], tokens: dict[str, int]) -> None:
-        """Take the numbers of requests and tokens that the other hosts have."""
-        for key, held in self.held.items():
-            held.elsewhere = counts.get(key, 0)
-            held.tokens_elsewhere = tokens.get(key, 0)
+    def set_elsewhere(self, loads: dict[int, Load]) -> None:
+        """Take what the other hosts have at each endpoint, by its key."""
+        now = time.monotonic()
+        for held in self.held.values():
+            load = loads.get(held.key, NO_LOAD)
+            held.elsewhere = load.requests
+            held.tokens_elsewhere = load.tokens
+            held.unread_elsewhere = load.unread
+            heard_at = now - load.heard_ms / 1000
+            held.heard_at = max(held.heard_at, heard_at)
+            if held.down and heard_at > held.down_at + HEARD_AFTER_S:
+                # It serves others, so the fault was on the way from here.
+                self.set_down(held.endpoint.id, down=False)
+
+    def _move_some(self, held: Held, cause: str, now: float) -> None:
+        """Ask some of the streams that an endpoint still serves to go on elsewhere."""
+        waiting = []
+        for running in held.running:
+            if now - running.asked_at > self._timing.ask_again_s:
+                waiting.append(running)
+        most = ceil(len(held.running) * MOVE_PART)
+        for running in waiting[:most]:
+            running.move(cause, served=True)
 
 
 def _move(held: Held, cause: str) -> None:
@@ -311,17 +339,6 @@
         running.move(cause)
 
 
-def _move_some(held: Held, cause: str, now: float) -> None:
-    """Ask some of the streams that an endpoint still serves to go on elsewhere."""
-    waiting = []
-    for running in held.running:
-        if now - running.asked_at > ASK_AGAIN_S:
-            waiting.append(running)
-    most = ceil(len(held.running) * MOVE_PART)
-    for running in waiting[:most]:
-        running.move(cause, served=True)
-
-
 def _span(endpoint: Endpoint) -> str:
     layers = endpoint.layers
     return f"{layers.first}-{layers.end}" if layers else ""
--- a/packages/router/src/hemlockhall_router/process/leadership.py
+++ b/packages/router/src/hemlockhall_router/process/leadership.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 if TYPE_CHECKING:
-    from hemlockhall_router.process.hosts import Hosts
+    from hemlockhall_router.membership.hosts import Hosts
     from hemlockhall_router.process.lease import Lease
 
 # Seconds between tries to acquire or renew the lease.
@@ -52,6 +52,10 @@
         if rival or (self._leaving and self._hosts.staying()):
             self._stand_in(False)
             return False
+        if not self._hosts.hub:
+            # Hubs are enough: a try of each host costs a call to the store.
+            self._stand_in(False)
+            return False
         if now >= self._next_take:
             self._next_take = now + ACQUIRE_S
             await lease.take()
--- a/packages/router/src/hemlockhall_router/process/outage.py
+++ b/packages/router/src/hemlockhall_router/process/outage.py
@@ -8,13 +8,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.process.watch import Watch
 
 # Seconds for which entries that lapsed while the store was away may still
 # come back after its return; the platform names two, the rest is its lag.
 RETURN_S = 2.2
-# Seconds for which a store failure still excuses missing entries.
-OUTAGE_S = 3.0
 
 
 class Outage:
@@ -26,11 +25,16 @@
         The copy of the table of endpoints.
     others_steady : callable
         Returns whether a live host has had the store all the while.
+    timing : Timing
+        How long a loss of the store counts.
     """
 
-    def __init__(self, watch: Watch, others_steady: Callable[[], bool]) -> None:
+    def __init__(
+        self, watch: Watch, others_steady: Callable[[], bool], timing: Timing
+    ) -> None:
         self._watch = watch
         self._others_steady = others_steady
+        self._timing = timing
 
     @property
     def steady(self) -> bool:
@@ -58,7 +62,7 @@
 
     def _lost_lately(self) -> bool:
         lost_at = self._watch.lost_at
-        return lost_at > 0.0 and time.monotonic() - lost_at <= OUTAGE_S
+        return lost_at > 0.0 and time.monotonic() - lost_at <= self._timing.outage_s
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -28,14 +28,12 @@
     from hemlockhall_router.process.lease import Lease
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.prober import Prober
+    from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.version.endpoint import Endpoint, LayerRange
     from hemlockhall_router.version.routing import Model, Routing
 
 # Seconds between two plans.
 INTERVAL_S = 0.2
-# Seconds without a new endpoint before the first plan: all appear within one
-# heartbeat, and a plan for half of them would have to be redone.
-SETTLE_S = 1.5
 # Seconds an order may take to be accepted.
 ORDER_S = 0.3
 # Times that an order without an answer is given.
@@ -78,6 +76,7 @@
         prober: Prober,
         metrics: Metrics,
         routing: Callable[[], Routing | None],
+        timing: Timing,
     ) -> None:
         self._dialect = dialect
         self._directory = directory
@@ -86,6 +85,7 @@
         self._prober = prober
         self._metrics = metrics
         self._routing = routing
+        self._timing = timing
         self._pending: dict[tuple[str, int], Pending] = {}
         self._known: dict[str, set[tuple[str, int]]] = {}
         self._settle_deadlines: dict[str, float] = {}
@@ -137,7 +137,9 @@
         present = {endpoint.incarnation for endpoint in members}
         known = self._known.get(service, set())
         if present - known:
-            self._settle_deadlines[service] = now + SETTLE_S
+            # All appear within one heartbeat, and a plan for half of them would
+            # have to be redone.
+            self._settle_deadlines[service] = now + self._timing.settle_s
         self._known[service] = present
         for incarnation in known - present:
             self._pending.pop(incarnation, None)
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -13,16 +13,18 @@
 
 from hemlockhall_router.connection.caller import CallerLimits, CallerReader
 from hemlockhall_router.connection.error import CallerError, CallerGoneError
-from hemlockhall_router.connection.link import Status
 from hemlockhall_router.connection.message import response_text
 from hemlockhall_router.connection.pool import Pool
+from hemlockhall_router.membership.exchange import Own
+from hemlockhall_router.membership.hosts import Hosts
+from hemlockhall_router.membership.message import Contact, Load
+from hemlockhall_router.membership.tally import UNHEARD_MS
 from hemlockhall_router.policy.pipe import Pipes
 from hemlockhall_router.process.budget import Budget
 from hemlockhall_router.process.chooser import Chooser
 from hemlockhall_router.process.dialect import DecodeError, load_dialect
 from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.front import Front
-from hemlockhall_router.process.hosts import Hosts
 from hemlockhall_router.process.leadership import Leadership
 from hemlockhall_router.process.lease import Lease
 from hemlockhall_router.process.metric import Metrics
@@ -31,6 +33,7 @@
 from hemlockhall_router.process.prober import Prober
 from hemlockhall_router.process.setting import SettingsError, load_settings
 from hemlockhall_router.process.store import Table
+from hemlockhall_router.process.timing import Timing
 from hemlockhall_router.process.watch import Watch
 from hemlockhall_router.request.work import Tools
 
@@ -78,35 +81,39 @@
         self._dialect = load_dialect(host.dialect, host.dialect_module)
         self._store = self._dialect.store(settings.store.address)
         self.routing: Routing | None = None
-        self._routes_watch = Watch(
-            self._store, Table.ROUTING, self._routing_changed, self._hears_others
-        )
-        self._endpoints_watch = Watch(
-            self._store, Table.ENDPOINTS, self._endpoints_changed, self._hears_others
-        )
-        self._outage = Outage(
-            self._endpoints_watch, lambda: self.hosts.another_steady()
-        )
-        self.directory = Directory(
-            self._dialect.endpoint, self._outage.deadline, lambda: None
-        )
-        self.lease = Lease(self._store, host.name, self._boot)
-        self.hosts = Hosts(
+        self._timing = Timing(settings.bounds)
+        own = Contact(
             host.name,
             settings.listen.hosts,
+            host.data_centre,
+            host.power,
+            self._boot,
+        )
+        self.hosts = Hosts(
+            own,
             settings.seeds,
             self._store,
+            self._timing,
             self._describe,
-            [self._routes_watch, self._endpoints_watch],
             self._suspect,
+            metrics,
         )
+        self._routes_watch = self._watch(Table.ROUTING, self._routing_changed)
+        self._endpoints_watch = self._watch(Table.ENDPOINTS, self._endpoints_changed)
+        self._outage = Outage(
+            self._endpoints_watch, self.hosts.another_steady, self._timing
+        )
+        self.directory = Directory(
+            self._dialect.endpoint, self._outage.deadline, self._timing
+        )
+        self.lease = Lease(self._store, host.name, self._boot)
         retry = settings.retry
         self.budget = Budget(
             retry.ratio, retry.constant, retry.window_s, self.hosts.count
         )
-        self._prober = Prober(self._dialect, self.directory, self.hosts.count)
-        pipes = Pipes(self.hosts.count)
-        chooser = Chooser(self.directory, host.data_centre, pipes, self.hosts.count)
+        self._prober = Prober(self._dialect, self.directory, self.hosts.near)
+        pipes = Pipes(self.hosts.sharers)
+        chooser = Chooser(self.directory, host.data_centre, pipes, self.hosts.near)
         self._pool = Pool()
         tools = Tools(
             self._dialect,
@@ -128,6 +135,7 @@
             self._prober,
             metrics,
             lambda: self.routing,
+            self._timing,
         )
         self._group: TaskGroup | None = None
 
@@ -217,47 +225,48 @@
     def _endpoints_changed(self, rows: list[Row]) -> None:
         self.directory.take(rows)
 
-    def _hears_others(self) -> bool:
-        return bool(self.hosts.live())
+    def _watch(self, table: Table, changed: Callable[[list[Row]], None]) -> Watch:
+        def taken(rows: list[Row]) -> None:
+            changed(rows)
+            self.hosts.changed()
 
-    def _describe(self, peers: list[str]) -> Status:
-        loads = {}
-        tokens = {}
+        watch = Watch(self._store, table, taken, self.hosts, self._timing)
+        self.hosts.passes_on(watch)
+        return watch
+
+    def _describe(self) -> Own:
+        now = time.monotonic()
+        loads = []
         down = []
-        for key, held in self.directory.held.items():
+        for held in self.directory.held.values():
             if held.in_flight:
-                loads[key] = held.in_flight
-                tokens[key] = held.tokens
+                heard_ms = min(UNHEARD_MS, int((now - held.heard_here_at) * 1000))
+                loads.append(
+                    Load(held.key, held.in_flight, held.tokens, held.unread, heard_ms)
+                )
             if held.down:
-                down.append(key)
-        watches = (self._routes_watch, self._endpoints_watch)
-        return Status(
-            name=self._settings.host.name,
-            address=self._settings.listen.hosts,
-            boot=self._boot,
-            versions={watch.table.value: watch.version for watch in watches},
-            loads=loads,
-            tokens=tokens,
+                down.append(held.key)
+        return Own(
             fence=self.lease.fence,
+            steady=self._outage.steady,
             leaving=self.front.leaving,
-            peers=peers,
+            loads=loads,
             down=down,
-            steady=self._outage.steady,
         )
 
-    def _suspect(self, ids: list[str]) -> None:
+    def _suspect(self, keys: list[int]) -> None:
+        suspects = set(keys)
         known = []
-        for key in ids:
-            held = self.directory.held.get(key)
-            if held is not None and not held.down:
-                known.append(key)
+        for held in self.directory.held.values():
+            if held.key in suspects and not held.down:
+                known.append(held.endpoint.id)
         self._prober.doubt(known)
 
     async def _upkeep(self) -> None:
         while True:
             await anyio.sleep(UPKEEP_S)
             self.directory.expire()
-            self.directory.set_elsewhere(*self.hosts.loads())
+            self.directory.set_elsewhere(self.hosts.loads())
             await self._pool.sweep()
 
     async def _settings_watch(self) -> None:
@@ -277,6 +286,7 @@
         self.budget.ratio = settings.retry.ratio
         self.budget.constant = settings.retry.constant
         self.budget.window_s = settings.retry.window_s
+        self._timing.bounds = settings.bounds
         logger.info("settings reloaded")
 
     async def _signals(self) -> None:
--- a/packages/router/src/hemlockhall_router/process/setting.py
+++ b/packages/router/src/hemlockhall_router/process/setting.py
@@ -22,6 +22,14 @@
     data_centre: str
     dialect: str
     dialect_module: str
+    cores: float = 1.0
+    cpu_share: float = 1.0
+    link_mbps: float = 100.0
+
+    @property
+    def power(self) -> int:
+        """Rank among hosts, by what its processor and its link carry."""
+        return round(self.cores * self.cpu_share * self.link_mbps)
 
 
 class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,6 +60,19 @@
     grace_s: float = 8.0
 
 
+class BoundsSection(msgspec.Struct, frozen=True, kw_only=True):
+    """What the deployment promises, in milliseconds.
+
+    A configuration is in force ``config_ms`` after it was accepted, a leaving
+    endpoint gets no requests after ``drain_ms``, and endpoints renew their
+    entries each ``heartbeat_ms``.
+    """
+
+    config_ms: float = 2000.0
+    drain_ms: float = 2000.0
+    heartbeat_ms: float = 1200.0
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """How much is logged."""
 
@@ -67,6 +88,7 @@
     seeds: list[str] = []
     retry: RetrySection = RetrySection()
     leave: LeaveSection = LeaveSection()
+    bounds: BoundsSection = BoundsSection()
     log: LogSection = LogSection()
 
 
@@ -94,10 +116,22 @@
         if not host or not port.isdigit():
             msg = f'{path}: {place}: must be an IP number and a port, got "{address}"'
             raise SettingsError(msg)
+    _check_positive(path, settings)
     return settings
 
 
+def _check_positive(path: Path, settings: RouterSettings) -> None:
+    for section in ("bounds", "leave"):
+        fields = msgspec.structs.asdict(getattr(settings, section))
+        for name, value in fields.items():
+            if value > 0:
+                continue
+            msg = f"{path}: {section}.{name}: must be above 0, got {value}"
+            raise SettingsError(msg)
+
+
 __all__ = [
+    "BoundsSection",
     "RouterSettings",
     "SettingsError",
     "load_settings",
--- a/packages/router/src/hemlockhall_router/process/watch.py
+++ b/packages/router/src/hemlockhall_router/process/watch.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 from loguru import logger
@@ -13,54 +14,72 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hemlockhall_router.process.store import Store, Table
-
-# Seconds one call for changes waits at the store. It bounds how long a silent
-# connection hides a change: wait, allowance and one read of the table stay below
-# the contact time of 3 s plus the 2 s in which a change must hold.
-WAIT_S = 2.5
-# The same while other hosts are heard: they pass on what a silent connection
-# hides, and each call is billed.
-WAIT_HEARD_S = 5.0
-# Seconds allowed for reading the whole table.
-READ_S = 1.5
+    from hemlockhall_router.process.store import Page, Store, Table
+    from hemlockhall_router.process.timing import Timing
+
 # Seconds between tries while the store does not answer.
 RETRY_S = 0.2
 RETRY_MAX_S = 0.5
-# Seconds after a change before the next call: changes come in groups, and each
-# call is billed, while a change may take 2 s to be in force.
-BATCH_S = 0.4
+# The same for a host that others would pass changes on to.
+RETRY_IDLE_S = 2.0
+# Seconds between two looks at whether this host should follow the store.
+IDLE_S = 0.05
+# Part of its wait that a call for changes waits at least. Hosts whose calls return
+# together after a change would confirm their copies at the same moments.
+WAIT_LEAST = 0.5
 # Deletions remembered for hosts that are behind.
 TOMBSTONES = 512
 
 
+class Following(Protocol):
+    """Whether and how this host follows the store."""
+
+    def wanted(self) -> bool:
+        """Return whether this host should ask the store itself."""
+
+    def appointed(self) -> bool:
+        """Return whether others rely on what this host gets there."""
+
+    def wait_s(self) -> float:
+        """Return for how long one call for changes waits."""
+
+
 class Watch:
     """Rows of a table as of ``version``; only newer versions are taken.
 
+    ``changed`` is the version of the newest change, and ``confirmed_at`` the
+    monotonic time as of which the copy is known to be complete.
+
     Parameters
     ----------
     store : Store
         Where changes come from.
     table : Table
         The table.
-    changed : callable
+    taken : callable
         Called with the changed rows after each step.
-    heard : callable
-        Returns whether another host is heard that would pass changes on.
+    following : Following
+        Whether this host asks the store.
+    timing : Timing
+        Times of calls.
     """
 
     def __init__(
         self,
         store: Store,
         table: Table,
-        changed: Callable[[list[Row]], None],
-        heard: Callable[[], bool],
+        taken: Callable[[list[Row]], None],
+        following: Following,
+        timing: Timing,
     ) -> None:
         self._store = store
-        self._heard = heard
+        self._following = following
+        self._timing = timing
         self.table = table
-        self._changed = changed
+        self._taken = taken
         self.version = 0
+        self.changed = 0
+        self.confirmed_at = float("-inf")
         self.rows: dict[str, Row] = {}
         self._dead: dict[str, Row] = {}
         self._dead_floor = 0
@@ -69,23 +88,23 @@
         self.lost_at = 0.0
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table, while this host should, until cancelled."""
         fresh = self.version > 0
         delay = RETRY_S
         while True:
+            if not self._following.wanted():
+                self.reached = False
+                fresh = self.version > 0
+                await anyio.sleep(IDLE_S)
+                continue
             try:
                 if not fresh:
-                    page = await self._store.read(self.table, time.monotonic() + READ_S)
-                    self._reach()
-                    self.replace(page.rows, page.version)
+                    page = await self._read()
                     fresh = True
                 else:
-                    wait_s = WAIT_HEARD_S if self._heard() else WAIT_S
-                    page = await self._store.changes(self.table, self.version, wait_s)
-                    self._reach()
-                    self.apply(page.rows, page.version)
+                    page = await self._changes()
                     if page.rows:
-                        await anyio.sleep(BATCH_S)
+                        await anyio.sleep(self._timing.batch_s)
                 delay = RETRY_S
             except HistoryGoneError:
                 logger.info("history gone, reading anew", table=self.table.value)
@@ -93,9 +112,25 @@
             except StoreError as exc:
                 self._lose(exc)
                 await anyio.sleep(delay)
-                delay = min(RETRY_MAX_S, delay * 1.5)
+                most = RETRY_MAX_S if self._following.appointed() else RETRY_IDLE_S
+                delay = min(most, delay * 1.5)
+
+    async def _read(self) -> Page:
+        deadline = time.monotonic() + self._timing.read_s
+        page = await self._store.read(self.table, deadline)
+        self._reach()
+        self.replace(page.rows, page.version)
+        return page
+
+    async def _changes(self) -> Page:
+        wait_s = self._following.wait_s() * random.uniform(WAIT_LEAST, 1.0)  # noqa: S311
+        page = await self._store.changes(self.table, self.version, wait_s)
+        self._reach()
+        self.apply(page.rows, page.version)
+        return page
 
     def _reach(self) -> None:
+        self.confirmed_at = time.monotonic()
         if self.reached:
             return
         self.reached = True
@@ -109,6 +144,19 @@
         self.reached = False
         logger.warning("store lost", table=self.table.value, cause=str(exc))
 
+    def confirm(self, changed: int, complete: int, at: float) -> bool:
+        """Take another host's word on its copy; return whether this one lacks rows.
+
+        A copy that holds all changes up to a version, the newest of which this
+        one has too, says that this one is complete up to there.
+        """
+        if changed > self.version:
+            return True
+        if self.version > 0:
+            self.version = max(self.version, complete)
+            self.confirmed_at = max(self.confirmed_at, at)
+        return False
+
     def apply(self, rows: tuple[Row, ...] | list[Row], version: int) -> None:
         """Take changes that lead from the own version to a newer one."""
         if version <= self.version:
@@ -120,9 +168,10 @@
                 continue
             self._put(row)
             taken.append(row)
+            self.changed = max(self.changed, row.version)
         self.version = version
         if taken:
-            self._changed(taken)
+            self._taken(taken)
 
     def replace(self, rows: tuple[Row, ...] | list[Row], version: int) -> None:
         """Take all rows as of a newer version; the others are deleted."""
@@ -158,5 +207,6 @@
 
 
 __all__ = [
+    "Following",
     "Watch",
 ]
--- a/packages/router/src/hemlockhall_router/request/work.py
+++ b/packages/router/src/hemlockhall_router/request/work.py
@@ -159,7 +159,7 @@
         """Note that an event came through the endpoints."""
         now = time.monotonic()
         for held in self._held:
-            held.heard_at = now
+            held.heard_at = held.heard_here_at = now
 
     def exit(self) -> None:
         """Count it no more; once is enough."""
--- a/packages/standins/src/hemlockhall_standins/router/pool.py
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from hemlockhall_router.process.directory import Directory, Held
+from hemlockhall_router.process.setting import BoundsSection
+from hemlockhall_router.process.timing import Timing
 from hemlockhall_router.version.endpoint import Endpoint
 from hemlockhall_router.version.routing import Accelerator, Model, Service
 
@@ -40,7 +42,7 @@
 
 def directory() -> Directory:
     """Return a directory that no store changes."""
-    return Directory(lambda key, value: None, lambda: 0.0, lambda: None)
+    return Directory(lambda key, value: None, lambda: 0.0, Timing(BoundsSection()))
 
 
 def enter(
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -8,13 +8,15 @@
 import pytest
 
 from hemlockhall_router.process.directory import AVOID_S, BUSY_S, Directory
+from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.store import Row
+from hemlockhall_router.process.timing import Timing
 from hemlockhall_standins.router.dialect import EndpointRow, StandinDialect
 
 
 @pytest.fixture()
 def directory() -> Directory:
-    made = Directory(StandinDialect().endpoint, lambda: 0.0, lambda: None)
+    made = Directory(StandinDialect().endpoint, lambda: 0.0, Timing(BoundsSection()))
     value = msgspec.json.encode(EndpointRow("pool", 1))
     made.take([Row("p1", value, 1)])
     return made
--- a/tests/router/test_prober.py
+++ b/tests/router/test_prober.py
@@ -8,6 +8,8 @@
 
 from hemlockhall_router.process.directory import Directory, Held
 from hemlockhall_router.process.prober import Prober
+from hemlockhall_router.process.setting import BoundsSection
+from hemlockhall_router.process.timing import Timing
 from hemlockhall_router.request.running import Running
 from hemlockhall_router.version.endpoint import Endpoint
 from hemlockhall_standins.router.dialect import StandinDialect
@@ -17,7 +19,7 @@
 
 @pytest.fixture()
 def directory() -> Directory:
-    made = Directory(StandinDialect().endpoint, lambda: 0.0, lambda: None)
+    made = Directory(StandinDialect().endpoint, lambda: 0.0, Timing(BoundsSection()))
     for name in ("p1", "p2", "p3"):
         made.held[name] = Held(Endpoint(name, "pool", "127.0.0.1", 1, "here"))
     return made
