Go on with a stream that the caller has a part of as long as the caller waits

Ruled out: a refusal in its place (the answer has begun), the route's limit. Change: such a stream looks for a path, and waits for a repeat, until its caller's time is over or the caller leaves; more than twelve tries are paced. A search over all endpoints that found none is not repeated for 50 ms, as many streams wait then.

--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -32,6 +32,10 @@
 # Backlog of a pipe, in seconds, that leaves a prompt time to be read in its
 # objective.
 BACKLOG_S = 0.15
+# Seconds for which no request looks for a path after a search over all endpoints
+# found none. Many streams wait then, and searching for each would keep the host
+# from passing on the events of the others.
+NONE_S = 0.05
 # Factor on the cost of an endpoint whose entry lapsed: it may have left, and is
 # used only where the others are far slower or full.
 DOUBT_FACTOR = 5.0
@@ -52,6 +56,7 @@
         self._pipes = pipes
         self._home = home
         self._seen_at: dict[str, float] = {}
+        self._none_deadlines: dict[str, float] = {}
         self._began = time.monotonic()
 
     def endpoint(self, service: str, tried: set[str]) -> Held | None:
@@ -93,9 +98,14 @@
         model = service.model
         if model is None:
             return None
+        now = time.monotonic()
+        if now < self._none_deadlines.get(service.name, 0.0):
+            return None
         path = self._find(service, model, tried, size, starts_at)
         if path is not None:
-            self._seen_at[service.name] = time.monotonic()
+            self._seen_at[service.name] = now
+        elif not tried and starts_at is None:
+            self._none_deadlines[service.name] = now + NONE_S
         return path
 
     def without_path_s(self, service: str) -> float:
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from typing import TYPE_CHECKING
 
@@ -23,14 +24,17 @@
     from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
 
-# Seconds after the last path was lost for which requests wait for one: layers of a
-# lost endpoint are soon loaded elsewhere, and a refused caller comes back later.
-# Requests that come later are refused at once: nobody knows when there is a path.
+# Seconds after the last path was lost for which new requests wait for one: layers
+# of a lost endpoint are soon loaded elsewhere, and a refused caller comes back
+# later. Those that come later are refused at once: nobody knows when there is one.
 RESTORE_S = 1.3
 # Part of the objective for which a request waits at any rate; an endpoint that
 # failed a moment ago is often back by then.
 HOLD_PART = 0.12
 HOLD_POLL_S = 0.02
+# The same for a stream that has waited for a while.
+HOLD_POLL_MAX_S = 0.1
+HOLD_POLL_GROWTH = 1.2
 # Longest pauses for which a stream that is still served waits until another
 # endpoint takes it; after that the caller does better with what it has.
 HANDOVER_PAUSES = 1.0
@@ -38,8 +42,10 @@
 # refused, and told when to come back. Its caller leaves after four of them; one
 # that is held until then learns nothing, and comes back later than it could.
 ROOM_OBJECTIVES = 2.0
-# Tries for one request; it bounds the work that it makes.
+# Tries for one request; it bounds the work that it makes. A stream that the caller
+# has a part of goes on after them, but more slowly.
 MAX_TRIES = 12
+MORE_TRIES_S = 0.5
 
 
 class StreamRelay:
@@ -62,7 +68,11 @@
 
     async def run(self) -> None:
         """Relay the stream until it is complete or given up."""
-        for _ in range(MAX_TRIES):
+        for tries in itertools.count():
+            if tries >= MAX_TRIES:
+                if not self._reply.started:
+                    break
+                await anyio.sleep(MORE_TRIES_S)
             path = await self._path()
             if path is None or self._work.left_s <= 0 or self._crowded_out():
                 break
@@ -172,11 +182,8 @@
         of waits for one: given up, it is lost, or the caller asks for all of
         it again.
         """
-        deadline = time.monotonic()
-        if self._reply.started:
-            deadline += RESTORE_S
         while not self._allow():
-            if time.monotonic() >= deadline or self._work.left_s <= 0:
+            if not self._reply.started or self._work.left_s <= 0:
                 return False
             await anyio.sleep(HOLD_POLL_S)
         return True
@@ -224,6 +231,7 @@
         work, chooser = self._work, self._tools.chooser
         began = time.monotonic()
         deadline = min(work.deadline, began + self._patience.objective_s * HOLD_PART)
+        poll_s = HOLD_POLL_S
         while True:
             starts_at = self._starts_at()
             path = chooser.path(work.service, self._avoid, starts_at, size=work.size)
@@ -231,18 +239,20 @@
                 return path
             if time.monotonic() >= deadline:
                 path = chooser.path(work.service, set(), starts_at, size=work.size)
-                if path is not None or work.left_s <= 0 or self._too_long(began):
+                if path is not None or work.left_s <= 0 or self._too_long():
                     return path
-            await anyio.sleep(HOLD_POLL_S)
+            await anyio.sleep(poll_s)
+            poll_s = min(HOLD_POLL_MAX_S, poll_s * HOLD_POLL_GROWTH)
 
-    def _too_long(self, began: float) -> bool:
+    def _too_long(self) -> bool:
         """Return whether the wait for a path is over.
 
         A new request does not wait if there has been no path for long. A
-        stream that the caller has a part of does: giving it up loses that.
+        stream that the caller has a part of waits as long as the caller does:
+        giving it up loses that.
         """
         if self._reply.started:
-            return time.monotonic() - began > RESTORE_S
+            return False
         return self._tools.chooser.without_path_s(self._work.service.name) > RESTORE_S
 
     def _crowded_out(self) -> bool:
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -426,6 +426,40 @@
                 held.avoid_deadline = 0.0
             assert bodies == [WHOLE]
 
+    async def test_a_begun_stream_is_not_given_up_while_no_path_is_there(self) -> None:
+        """Guards against closing streams whose layers are away for seconds."""
+        broken = anyio.Event()
+
+        async def cut(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(1)
+            await broken.wait()
+            await arrival.reset()
+
+        scripts = iter((cut, write))
+
+        async def script(arrival: Arrival) -> None:
+            await next(scripts)(arrival)
+
+        route = RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)
+        async with hall([route]) as h:
+            await h.endpoint("p1", script, **ALL)
+            held = h.routers[0].directory.held["p1"]
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await h.until(lambda: held.running)
+                await h.until(lambda: all(run.began for run in held.running))
+                held.avoid_deadline = float("inf")
+                broken.set()
+                await anyio.sleep(RESTORE_S * 2)
+                held.avoid_deadline = 0.0
+            assert bodies == [WHOLE]
+
 
 class TestHandover:
     async def test_a_stream_stays_where_it_is_served_if_the_next_refuses(self) -> None:
