--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -40,7 +40,7 @@
 # Seconds between two questions to an endpoint that is down or slow.
 SUSPECT_AGAIN_S = 1.0
 # Seconds after the end of a wait from which this host itself was slow: what it
-# missed then says nothing about the endpoint.
+# missed then says nothing about the endpoints.
 OWN_DELAY_S = 0.03
 # Seconds between two looks at the streams under way.
 POLL_S = 0.02
@@ -74,6 +74,8 @@
         self._hosts = hosts
         self._doubted: set[str] = set()
         self._calm = 1.0
+        self._looked_at = time.monotonic()
+        self._awake_at = 0.0
 
     def doubt(self, ids: list[str]) -> None:
         """Ask these endpoints soon, unless they were asked just now."""
@@ -91,16 +93,28 @@
         async with anyio.create_task_group() as group:
             while True:
                 await anyio.sleep(POLL_S)
+                self._note_delay()
                 self._find_silent()
                 due = self._due()
                 if due:
                     group.start_soon(self._round, due)
 
+    def _note_delay(self) -> None:
+        """Note whether this host was kept from reading what came.
+
+        While it takes a large configuration it reads nothing; all streams look
+        silent then, and all questions unanswered.
+        """
+        now = time.monotonic()
+        if now - self._looked_at > POLL_S + OWN_DELAY_S:
+            self._awake_at = now
+        self._looked_at = now
+
     def _find_silent(self) -> None:
         now = time.monotonic()
         self._calm = max(1.0, self._calm * CALM_FALL)
         for running in self._directory.running:
-            if not running.silent(now, self._calm):
+            if not running.silent(now, self._calm, self._awake_at):
                 continue
             unheard = self._unheard(running, now)
             if unheard:
@@ -117,7 +131,9 @@
         found = []
         for key in running.ids:
             held = self._directory.held.get(key)
-            if held is not None and now - held.heard_at > running.quiet_s:
+            if held is None:
+                continue
+            if now - max(held.heard_at, self._awake_at) > running.quiet_s:
                 found.append(key)
         return found
 
@@ -150,12 +166,13 @@
         if held is None:
             return
         patience_s = PATIENT_S if held.down else ANSWER_S
-        deadline = time.monotonic() + patience_s
+        began = time.monotonic()
+        deadline = began + patience_s
         try:
             report = await self.report(held.endpoint, patience_s)
         except WireError:
-            # This host was not running when the answer was due.
-            if time.monotonic() - deadline < OWN_DELAY_S:
+            late = time.monotonic() - deadline >= OWN_DELAY_S
+            if not late and self._awake_at < began:
                 failed.append(key)
             return
         except DecodeError as exc:
--- a/packages/router/src/hemlockhall_router/request/running.py
+++ b/packages/router/src/hemlockhall_router/request/running.py
@@ -63,9 +63,15 @@
         self.doubted = False
         self.began = True
 
-    def silent(self, now: float, factor: float) -> bool:
-        """Return whether it has been silent for too long, and not been doubted."""
-        return not self.doubted and now - self.heard_at > self.quiet_s * factor
+    def silent(self, now: float, factor: float, awake_at: float = 0.0) -> bool:
+        """Return whether it has been silent for too long, and not been doubted.
+
+        Nothing counts as missed before ``awake_at``, when this host began to
+        read again.
+        """
+        if self.doubted:
+            return False
+        return now - max(self.heard_at, awake_at) > self.quiet_s * factor
 
     def move(self, cause: str, *, served: bool = False) -> None:
         """Let it go on elsewhere.
--- a/tests/router/test_prober.py
+++ b/tests/router/test_prober.py
@@ -63,3 +63,20 @@
         prober._find_silent()
         assert prober._due() == ["p2"]
         assert running.doubted
+
+
+class TestOwnDelay:
+    def test_a_host_that_did_not_read_blames_no_endpoint(
+        self, directory: Directory
+    ) -> None:
+        """Guards against endpoints found down after this host stood still."""
+        prober = Prober(StandinDialect(), directory, lambda: 1)
+        running = silent(directory)
+        prober._looked_at -= 10 * QUIET_S
+        prober._note_delay()
+        prober._find_silent()
+        assert prober._due() == []
+        assert not running.doubted
+        prober._awake_at -= 10 * QUIET_S
+        prober._find_silent()
+        assert set(prober._due()) == {"p1", "p2", "p3"}
