Keep one more holder of the first layer

Five endpoints of the site hold the first layer, so 480 places bind; the sixth had shifted to layers 2 to 27 in a repair. Ruled out: reading (77,000 tokens a second and more), memory (137,000 tokens beside the layers), crossings (2 in 3 of the late ones make none). Change: the need of the first layer counts as if it had one holder less, and a holder gives it up only if two others have it.

--- a/packages/router/src/hemlockhall_router/version/balance.py
+++ b/packages/router/src/hemlockhall_router/version/balance.py
@@ -130,6 +130,8 @@
     assert member.held is not None
     first, end = member.held.first, member.held.end
     while end - first > size and coverage.counts[first] > 1:
+        if first == 0 and not coverage.starts_spared():
+            break
         first += 1
     while end - first > size and coverage.counts[end - 1] > 1:
         end -= 1
--- a/packages/router/src/hemlockhall_router/version/coverage.py
+++ b/packages/router/src/hemlockhall_router/version/coverage.py
@@ -11,6 +11,11 @@
     from hemlockhall_router.version.routing import Model
 
 
+# Holders of the first layer beyond those of others: a request takes a place at its
+# first endpoint only, and these have few.
+STARTS = 1
+
+
 class Coverage:
     """Counts of the holders of each layer."""
 
@@ -61,7 +66,14 @@
 
         A layer with one holder is lost with it; each further holder helps less.
         """
-        return sum(0.2**count for count in self.counts[first:end])
+        helped = sum(0.2**count for count in self.counts[first:end])
+        if first <= 0 < end:
+            helped += 0.2 ** max(0, self.counts[0] - STARTS) - 0.2 ** self.counts[0]
+        return helped
+
+    def starts_spared(self) -> bool:
+        """Return whether a holder of the first layer may give it up."""
+        return self.counts[0] > 1 + STARTS
 
 
 __all__ = [
--- a/tests/router/test_layout.py
+++ b/tests/router/test_layout.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hemlockhall_router.version.coverage import Coverage
+from hemlockhall_router.version.coverage import STARTS, Coverage
 from hemlockhall_router.version.endpoint import Endpoint, LayerRange
 from hemlockhall_router.version.layout import plan
 from hemlockhall_router.version.member import FILL, Member
@@ -395,3 +395,30 @@
             assert len(places) == 1
             if kinds is not PLACES:
                 assert places == {place}
+
+
+class TestStarts:
+    def test_each_copy_has_a_spare_holder_of_the_first_layer(self) -> None:
+        """Guards against requests that queue for places at their first endpoint."""
+        found = endpoints()
+        held: dict[str, LayerRange | None] = {e.id: None for e in found}
+        settle(found, held)
+        for place in PLACES:
+            starts = 0
+            for key, layers in held.items():
+                if key.startswith(place) and layers and layers.first == 0:
+                    starts += 1
+            assert starts >= 1 + STARTS
+
+    def test_a_holder_keeps_the_first_layer_while_it_is_scarce(self) -> None:
+        """Guards against a copy whose requests all start at one endpoint."""
+        found = endpoints({"x": "hllllllllll"})
+        held: dict[str, LayerRange | None] = {e.id: None for e in found}
+        settle(found, held)
+        fast = held["x00"]
+        assert fast is not None
+        held["x00"] = LayerRange(0, fast.end + 4)
+        settle(found, held)
+        assert held["x00"].first == 0
+        starts = [layers for layers in held.values() if layers and not layers.first]
+        assert len(starts) >= 1 + STARTS
