Count the time of the pipe in the cost of a path through it

A crossing cost 2 ms a token, while a prompt's activations take the pipe for 65 to 150 ms. Change: the transfer's time is weighed as reading is.

--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -13,6 +13,7 @@
     filling,
     reading_ms,
 )
+from hemlockhall_router.policy.pipe import transfer_s
 from hemlockhall_router.version.path import Toll, find_path
 
 if TYPE_CHECKING:
@@ -129,6 +130,8 @@
         size: int,
         starts_at: frozenset[str] | None,
     ) -> Path | None:
+        # A prompt is read later by the time that its activations take the pipe.
+        pipe_ms = FAR_MS + READING_WEIGHT * 1000 * transfer_s(model, size)
         tolls = {}
         hosts = self._hosts()
         endpoints = []
@@ -142,14 +145,13 @@
             endpoints,
             self._home,
             lambda endpoint: tolls[endpoint.id],
-            self._far_ms,
+            lambda here, there: pipe_ms + self._waiting_ms(here, there),
             starts_at,
         )
 
-    def _far_ms(self, here: str, there: str) -> float:
-        return FAR_MS + CROWDED_MS * crowding(
-            self._pipes.backlog_s(here, there) / BACKLOG_S
-        )
+    def _waiting_ms(self, here: str, there: str) -> float:
+        backlog_s = self._pipes.backlog_s(here, there)
+        return CROWDED_MS * crowding(backlog_s / BACKLOG_S)
 
 
 def _toll(held: Held, model: Model, slots: int, size: int, hosts: int) -> Toll:
