Tell all hosts what endpoints show while the store cannot say it

The store is away from 18 s on, eleven endpoints leave and cannot say so; they refuse what is new, each host tries each of them again after 0.2 s, and a path of a dozen endpoints meets one nearly always. Orders change layers meanwhile, and only the planner knows. Ruled out: lost endpoints (their streams go on), memory (used 4 to 16 in 100). Change: an endpoint that refuses and then reports free memory, has not changed lately and carries out no order is left out for 2 s, by all hosts and by the planner; layers that are newer than the store's entry, by the number of orders, pass from host to host, and an older entry or report does not bring the old ones back.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -13,6 +13,7 @@
     Contact,
     Copy,
     Digest,
+    Fact,
     Load,
     Message,
     Place,
@@ -37,9 +38,10 @@
 FOLLOWERS = 3
 # Rounds between two summaries to another data centre.
 SUMMARY_ROUNDS = 2
-# Contacts, and endpoints that are down, in one message. Contacts take turns.
+# Contacts, and endpoints that are down or leave, in one message. Contacts take turns.
 CONTACTS = 10
 DOWN = 16
+FACTS = 16
 
 
 @dataclass(slots=True)
@@ -51,6 +53,8 @@
     leaving: bool = False
     loads: list[Load] = field(default_factory=list)
     down: list[int] = field(default_factory=list)
+    shut: list[int] = field(default_factory=list)
+    facts: list[Fact] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -257,6 +261,8 @@
             copies=self._copies(),
             loads=busiest(own.loads),
             down=own.down[:DOWN],
+            shut=own.shut[:DOWN],
+            facts=own.facts[:FACTS],
             contacts=[],
             fence=own.fence,
             steady=own.steady,
@@ -267,15 +273,18 @@
         if self.roster.is_hub(now):
             loads = [*own.loads, *self._loads(receiver.name, now)]
             down = [*own.down, *self._down(now)]
+            shut = [*own.shut, *self._shut(now)]
         else:
             latest = self._latest(now)
             loads = [*own.loads, *(latest.loads(now) if latest else ())]
-            down = own.down
+            down, shut = own.down, own.shut
         return Digest(
             sender=self.own,
             copies=self._copies(),
             loads=busiest(add_up(loads).values()),
-            down=list(dict.fromkeys(down))[:DOWN],
+            down=_first(down),
+            shut=_first(shut),
+            facts=own.facts[:FACTS],
             contacts=self._some(receiver.place, receiver.name, now),
             places=self._places(now),
         )
@@ -284,10 +293,11 @@
         """Tell the hubs of the other data centres about this one."""
         place = self._own_place()
         loads = [*self._said.loads]
-        down = [*self._said.down]
+        down, shut = [*self._said.down], [*self._said.shut]
         for heard in self._reports.values():
             loads += heard.loads(now)
             down += heard.message.down
+            shut += heard.message.shut
         loads = busiest(add_up(loads).values())
         for name in self.roster.places(now):
             if name == self.own.place:
@@ -297,7 +307,9 @@
                     sender=self.own,
                     copies=self._copies(),
                     loads=loads,
-                    down=list(dict.fromkeys(down))[:DOWN],
+                    down=_first(down),
+                    shut=_first(shut),
+                    facts=self._said.facts[:FACTS],
                     contacts=self._some(name, contact.name, now),
                     place=place,
                 )
@@ -378,6 +390,14 @@
             down += summary.message.down
         return down
 
+    def _shut(self, now: float) -> list[int]:
+        shut: list[int] = []
+        for report in self._reports.values():
+            shut += report.message.shut
+        for summary in self._foreign(now):
+            shut += summary.message.shut
+        return shut
+
     def _latest(self, now: float) -> _Heard[Digest] | None:
         """Return the digest of the best hub that answers, or None."""
         for contact in self.roster.hubs(self.own.place, now):
@@ -411,6 +431,11 @@
             logger.info("host forgotten", host=contact.name, address=contact.address)
 
 
+def _first(keys: list[int]) -> list[int]:
+    """Return as many different keys as a message takes."""
+    return list(dict.fromkeys(keys))[:DOWN]
+
+
 __all__ = [
     "Exchange",
     "Own",
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -43,7 +43,7 @@
     from anyio.abc import SocketStream, TaskGroup, UDPSocket
 
     from hemlockhall_router.membership.exchange import Own
-    from hemlockhall_router.membership.message import Contact, Load
+    from hemlockhall_router.membership.message import Contact, Fact, Load
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.process.watch import Watch
@@ -90,6 +90,10 @@
         Returns what this host says of itself.
     suspect : callable
         Called with the keys of endpoints that another host finds down.
+    shut : callable
+        Called with the keys of endpoints that seem to leave.
+    learn : callable
+        Called with layers of endpoints that the store does not tell yet.
     metrics : Metrics
         Counts what was dropped.
     """
@@ -102,12 +106,16 @@
         timing: Timing,
         describe: Callable[[], Own],
         suspect: Callable[[list[int]], None],
+        shut: Callable[[list[int]], None],
+        learn: Callable[[list[Fact]], None],
         metrics: Metrics,
     ) -> None:
         self._own = own
         self._store = store
         self._timing = timing
         self._suspect = suspect
+        self._shut = shut
+        self._learn = learn
         self._metrics = metrics
         self._exchange = Exchange(
             own, seeds, timing, describe, self._copies, self._post
@@ -268,6 +276,10 @@
             self._exchange.heard(message)
             if message.down:
                 self._suspect(message.down)
+            if message.shut:
+                self._shut(message.shut)
+            if message.facts:
+                self._learn(message.facts)
             self._compare(message)
 
     def _bad(self, cause: str) -> None:
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -61,6 +61,20 @@
     heard_ms: int
 
 
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """The layers of an endpoint, newer than what the store says of it.
+
+    ``born`` names its run, and ``orders`` counts the orders that it began; the
+    higher number is the newer fact.
+    """
+
+    endpoint: int
+    born: int
+    orders: int
+    first: int
+    end: int
+
+
 class Place(msgspec.Struct, frozen=True, array_like=True):
     """The hosts of a data centre together.
 
@@ -81,8 +95,9 @@
     """What each message carries.
 
     ``loads`` are the sender's own, or those of the hosts that it speaks for.
-    ``down`` holds keys of endpoints that do not answer, ``contacts`` hosts that
-    the receiver may not know.
+    ``down`` holds keys of endpoints that do not answer, ``shut`` of those that
+    seem to leave, ``facts`` layers that the store does not tell yet,
+    ``contacts`` hosts that the receiver may not know.
     """
 
     protocol: int = PROTOCOL
@@ -90,6 +105,8 @@
     copies: list[Copy]
     loads: list[Load]
     down: list[int]
+    shut: list[int]
+    facts: list[Fact]
     contacts: list[Contact]
 
 
@@ -145,6 +162,7 @@
     "Contact",
     "Copy",
     "Digest",
+    "Fact",
     "Load",
     "Message",
     "MessageError",
--- a/packages/router/src/hemlockhall_router/membership/roster.py
+++ b/packages/router/src/hemlockhall_router/membership/roster.py
@@ -179,11 +179,8 @@
 
 
 def _aged(member: Member, now: float) -> Contact:
-    old = member.contact
     age_ms = max(0, int((now - member.heard_at) * 1000))
-    return Contact(
-        old.name, old.address, old.place, old.power, old.boot, old.leaving, age_ms
-    )
+    return msgspec.structs.replace(member.contact, age_ms=age_ms)
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -9,8 +9,9 @@
 
 from loguru import logger
 
-from hemlockhall_router.membership.message import Load, endpoint_key
+from hemlockhall_router.membership.message import Fact, Load, endpoint_key
 from hemlockhall_router.membership.tally import UNHEARD_MS
+from hemlockhall_router.version.endpoint import LayerRange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,6 +37,17 @@
 # Seconds after an endpoint was found down from which an event that came through it
 # at another host shows that it lives: messages between hosts take a while.
 HEARD_AFTER_S = 0.3
+# Seconds after a refusal for which a report says why, and part of an endpoint's
+# memory up to which it has room for any request.
+REFUSED_S = 1.0
+ROOMY = 0.25
+# Seconds after its start, or after its layers changed, from which it is judged so:
+# before, it refuses for other reasons.
+SETTLED_S = 2.0
+# Seconds for which an endpoint that seems to leave is left out, by the host that
+# found it and by those that heard of it: as long as that host says so.
+SHUT_S = 2.0
+SHUT_HEARD_S = 1.0
 NO_LOAD = Load(0, 0, 0, 0, UNHEARD_MS)
 # Latency assumed of an endpoint that has not answered yet, in seconds.
 UNKNOWN_S = 0.1
@@ -48,6 +60,7 @@
     ``tokens`` are those of its requests, ``unread`` those of the requests without
     an event so far, whose prompts it still reads; ``elsewhere``,
     ``tokens_elsewhere`` and ``unread_elsewhere`` are the same of other hosts there.
+    ``ahead`` tells that its layers are newer than its entry in the store.
     An event came through it at ``heard_at``, here or at another host, and here at
     ``heard_here_at``.
     """
@@ -69,6 +82,11 @@
     pace: float = 1.0
     leave_deadline: float | None = None
     key: int = 0
+    refused_at: float = float("-inf")
+    shut_deadline: float = 0.0
+    shut_here: bool = False
+    changed_at: float = field(default_factory=time.monotonic)
+    ahead: bool = False
     heard_at: float = 0.0
     heard_here_at: float = 0.0
     running: set[Running] = field(default_factory=set)
@@ -93,9 +111,13 @@
         """Tokens of the requests of all hosts there, as far as is known."""
         return self.tokens + self.tokens_elsewhere
 
+    def shut(self, now: float) -> bool:
+        """Return whether it seems to leave without a word in the store."""
+        return now < self.shut_deadline
+
     def usable(self, now: float) -> bool:
         """Return whether a new request may go there."""
-        if self.endpoint.draining or self.down:
+        if self.endpoint.draining or self.down or self.shut(now):
             return False
         return now >= self.avoid_deadline
 
@@ -160,6 +182,7 @@
             held.avoid_deadline = 0.0
             held.down = False
             held.pace = 1.0
+            held.shut_deadline = 0.0
         if endpoint.draining and held.leave_deadline is None:
             held.leave_deadline = time.monotonic() + self._timing.move_s
         if old.draining != endpoint.draining or old.layers != endpoint.layers:
@@ -169,7 +192,52 @@
                 layers=_span(endpoint),
                 draining=endpoint.draining,
             )
-        held.endpoint = endpoint
+        held.endpoint = self._newest(held, endpoint)
+        if (
+            held.endpoint.layers != old.layers
+            or old.incarnation != endpoint.incarnation
+        ):
+            held.changed_at = time.monotonic()
+
+    def _newest(self, held: Held, entry: Endpoint) -> Endpoint:
+        """Return an entry of the store, with layers that are newer than it."""
+        old = held.endpoint
+        if held.ahead and old.incarnation == entry.incarnation:
+            if entry.orders < old.orders:
+                return replace(entry, orders=old.orders, layers=old.layers)
+        held.ahead = False
+        return entry
+
+    def facts(self) -> list[Fact]:
+        """Return the layers that the store does not tell yet."""
+        found = []
+        for held in self.held.values():
+            endpoint = held.endpoint
+            if not held.ahead or endpoint.layers is None:
+                continue
+            layers = endpoint.layers
+            found.append(
+                Fact(held.key, endpoint.born, endpoint.orders, layers.first, layers.end)
+            )
+        return found
+
+    def learn(self, facts: list[Fact]) -> None:
+        """Take layers that another host knows from the endpoints themselves.
+
+        While the store is away nobody else learns what the planner's orders
+        changed, and sends requests along layers that are no longer there.
+        """
+        by_key = {held.key: held for held in self.held.values()}
+        for fact in facts:
+            held = by_key.get(fact.endpoint)
+            if held is None or held.endpoint.born != fact.born:
+                continue
+            if held.endpoint.orders >= fact.orders:
+                continue
+            layers = LayerRange(fact.first, fact.end)
+            held.endpoint = replace(held.endpoint, orders=fact.orders, layers=layers)
+            held.ahead = True
+            self._bump()
 
     def _missing(self, row: Row) -> None:
         held = self.held.get(row.key)
@@ -223,10 +291,13 @@
 
     def members(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that live and do not leave."""
+        now = time.monotonic()
         found = []
         for held in self.held.values():
             endpoint = held.endpoint
-            if endpoint.service == service and not endpoint.draining and not held.down:
+            if endpoint.service != service or endpoint.draining:
+                continue
+            if not held.down and not held.shut(now):
                 found.append(endpoint)
         return found
 
@@ -258,6 +329,55 @@
         )
         self._bump()
 
+    def refused(self, key: str) -> None:
+        """Note that an endpoint refused a request, whatever for."""
+        held = self.held.get(key)
+        if held is not None:
+            held.refused_at = time.monotonic()
+
+    def _judge_refusal(self, held: Held, report: Report) -> None:
+        """Tell an endpoint that leaves from one that is full.
+
+        While the store is away an endpoint that leaves cannot say so. It refuses
+        what is new and looks sound otherwise; tried again and again by all
+        hosts, it fails most paths, each of which has a dozen endpoints.
+        """
+        now = time.monotonic()
+        if now - held.refused_at > REFUSED_S or report.busy or report.queued:
+            return
+        if now - held.changed_at < SETTLED_S:
+            return
+        if report.memory_used > report.memory_total * ROOMY:
+            return
+        held.refused_at = float("-inf")
+        held.shut_deadline = now + SHUT_S
+        held.shut_here = True
+        logger.warning(
+            "endpoint seems to leave",
+            endpoint=held.endpoint.id,
+            memory_used=report.memory_used,
+            memory_total=report.memory_total,
+        )
+        self._bump()
+
+    def shut_elsewhere(self, keys: list[int]) -> None:
+        """Take which endpoints seem to leave from another host."""
+        deadline = time.monotonic() + SHUT_HEARD_S
+        known = set(keys)
+        for held in self.held.values():
+            if held.key in known:
+                held.shut_deadline = max(held.shut_deadline, deadline)
+
+    def shut_keys(self) -> list[int]:
+        """Return which endpoints this host found to leave."""
+        now = time.monotonic()
+        found = []
+        for held in self.held.values():
+            held.shut_here = held.shut_here and held.shut(now)
+            if held.shut_here:
+                found.append(held.key)
+        return found
+
     def succeeded(self, key: str, latency_s: float) -> None:
         """Note an answer, and the time to its first byte."""
         held = self.held.get(key)
@@ -287,6 +407,7 @@
         held = self.held.get(key)
         if held is None:
             return
+        self._judge_refusal(held, report)
         old = held.endpoint
         if abs(held.pace - report.pace) > PACE_STEP:
             logger.info("endpoint pace", endpoint=key, pace=report.pace)
@@ -300,8 +421,14 @@
             self._bump()
             _move(held, "endpoint restarted")
             return
+        if report.orders < old.orders:
+            # The report is older than what is known.
+            return
         if old.layers != report.layers or old.orders != report.orders:
             held.endpoint = replace(old, orders=report.orders, layers=report.layers)
+            if old.layers != report.layers:
+                held.ahead = True
+                held.changed_at = time.monotonic()
             self._bump()
 
     def suspect(self, key: str) -> bool:
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -96,6 +96,8 @@
             self._timing,
             self._describe,
             self._suspect,
+            lambda keys: self.directory.shut_elsewhere(keys),
+            lambda facts: self.directory.learn(facts),
             metrics,
         )
         self._routes_watch = self._watch(Table.ROUTING, self._routing_changed)
@@ -252,6 +254,8 @@
             leaving=self.front.leaving,
             loads=loads,
             down=down,
+            shut=self.directory.shut_keys(),
+            facts=self.directory.facts(),
         )
 
     def _suspect(self, keys: list[int]) -> None:
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -204,6 +204,7 @@
             key = part.endpoint.id
             if head.status == NO_ROOM:
                 self._tools.directory.busy(key)
+                self._tools.directory.refused(key)
             else:
                 self._tools.directory.failed(key, f"status {head.status}")
             self._tools.prober.doubt([key])
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -7,12 +7,24 @@
 import msgspec
 import pytest
 
-from hemlockhall_router.process.directory import AVOID_S, BUSY_S, Directory
+from hemlockhall_router.membership.message import Fact, Load, endpoint_key
+from hemlockhall_router.process.directory import (
+    AVOID_S,
+    BUSY_S,
+    HEARD_AFTER_S,
+    ROOMY,
+    SETTLED_S,
+    Directory,
+    Held,
+)
 from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.store import Row
 from hemlockhall_router.process.timing import Timing
+from hemlockhall_router.version.endpoint import LayerRange, Report
 from hemlockhall_standins.router.dialect import EndpointRow, StandinDialect
 
+TOTAL = 1000
+
 
 @pytest.fixture()
 def directory() -> Directory:
@@ -48,3 +60,99 @@
             directory.busy("p1")
         assert held.avoid_deadline <= time.monotonic() + BUSY_S
         assert held.failures == 0
+
+
+def report(used: int, *, orders: int = 0, layers: LayerRange | None = None) -> Report:
+    return Report(False, orders, 0, 1, used, TOTAL, layers, 1)
+
+
+class TestLeavingWithoutAWord:
+    @pytest.fixture()
+    def held(self, directory: Directory) -> Held:
+        held = directory.held["p1"]
+        held.changed_at -= 2 * SETTLED_S
+        return held
+
+    def test_one_that_refuses_though_it_has_room_is_left_out(
+        self, directory: Directory, held: Held
+    ) -> None:
+        """Guards against paths through endpoints that leave while the store is away."""
+        directory.refused("p1")
+        directory.reported("p1", report(int(TOTAL * ROOMY / 2)))
+        assert directory.usable("pool") == []
+        assert directory.members("pool") == []
+        assert directory.shut_keys() == [endpoint_key("p1")]
+
+    def test_one_that_is_full_is_not(self, directory: Directory, held: Held) -> None:
+        """Guards against a layout that gives up endpoints under load."""
+        directory.refused("p1")
+        directory.reported("p1", report(int(TOTAL * 0.6)))
+        assert directory.usable("pool") == [held]
+
+    def test_one_that_has_just_changed_is_not(self, directory: Directory) -> None:
+        directory.refused("p1")
+        directory.reported("p1", report(0))
+        assert directory.usable("pool") == [directory.held["p1"]]
+
+    def test_what_another_host_found_is_not_passed_on_as_its_own(
+        self, directory: Directory, held: Held
+    ) -> None:
+        """Guards against two hosts that keep an endpoint out for each other."""
+        directory.shut_elsewhere([endpoint_key("p1")])
+        assert directory.usable("pool") == []
+        assert directory.shut_keys() == []
+
+    def test_a_new_run_of_it_is_used_at_once(
+        self, directory: Directory, held: Held
+    ) -> None:
+        directory.shut_elsewhere([endpoint_key("p1")])
+        row = msgspec.json.encode(EndpointRow("pool", 1, born=2))
+        directory.take([Row("p1", row, 2)])
+        assert directory.usable("pool") == [held]
+
+
+class TestFacts:
+    def test_layers_that_another_host_knows_are_taken(
+        self, directory: Directory
+    ) -> None:
+        """Guards against requests along layers that were given up in an outage."""
+        key = endpoint_key("p1")
+        directory.learn([Fact(key, 1, 3, 4, 8)])
+        assert directory.held["p1"].endpoint.layers == LayerRange(4, 8)
+        assert directory.facts() == [Fact(key, 1, 3, 4, 8)]
+
+    @pytest.mark.parametrize("fact", [(1, 3, 0, 4), (1, 2, 0, 4), (2, 9, 0, 4)])
+    def test_older_ones_and_those_of_another_run_are_not(
+        self, directory: Directory, fact: tuple[int, int, int, int]
+    ) -> None:
+        """Guards against a layout that goes back to an older one."""
+        key = endpoint_key("p1")
+        directory.learn([Fact(key, 1, 3, 4, 8)])
+        directory.learn([Fact(key, *fact)])
+        assert directory.held["p1"].endpoint.layers == LayerRange(4, 8)
+
+    def test_an_older_entry_of_the_store_reverts_nothing(
+        self, directory: Directory
+    ) -> None:
+        directory.reported("p1", report(0, orders=3, layers=LayerRange(4, 8)))
+        row = EndpointRow("pool", 1, orders=2, layers=(0, 8))
+        directory.take([Row("p1", msgspec.json.encode(row), 2)])
+        assert directory.held["p1"].endpoint.layers == LayerRange(4, 8)
+        row = EndpointRow("pool", 1, orders=3, layers=(4, 8))
+        directory.take([Row("p1", msgspec.json.encode(row), 3)])
+        assert directory.facts() == []
+
+
+class TestElsewhere:
+    def test_an_endpoint_that_serves_others_is_not_down(
+        self, directory: Directory
+    ) -> None:
+        """Guards against endpoints left out for a fault of this host's own link."""
+        directory.set_down("p1", down=True)
+        held = directory.held["p1"]
+        directory.set_elsewhere({held.key: Load(held.key, 1, 100, 0, 50)})
+        assert held.down
+        held.down_at -= 2 * HEARD_AFTER_S
+        directory.set_elsewhere({held.key: Load(held.key, 1, 100, 0, 50)})
+        assert not held.down
+        assert held.load == 1
--- /dev/null
+++ b/tests/router/test_timing.py
@@ -0,0 +1,61 @@
+"""Times that follow from the bounds of a deployment."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from hemlockhall_router.process.setting import (
+    BoundsSection,
+    SettingsError,
+    load_settings,
+)
+from hemlockhall_router.process.timing import Timing
+
+NAMES = [name for name in vars(Timing) if name.endswith("_s") and name[0] != "_"]
+SETTINGS = """
+[host]
+name = "host-1"
+data_centre = "here"
+dialect = "standin"
+dialect_module = "hemlockhall_standins.router.dialect"
+[listen]
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+hosts = "127.0.0.1:3"
+[store]
+address = "127.0.0.1:4"
+[bounds]
+"""
+
+
+class TestTiming:
+    @pytest.mark.parametrize("name", NAMES)
+    def test_half_of_each_bound_halves_each_time(self, name: str) -> None:
+        """Guards against a deployment whose bounds are missed by a constant."""
+        usual = Timing(BoundsSection())
+        half = Timing(BoundsSection(config_ms=1000, drain_ms=1000, heartbeat_ms=600))
+        assert getattr(half, name) == pytest.approx(getattr(usual, name) / 2)
+
+    @pytest.mark.parametrize("config_ms", [500, 1000, 2000, 3000, 4000, 8000])
+    def test_a_change_fits_into_its_time_though_its_hub_dies(
+        self, config_ms: float
+    ) -> None:
+        timing = Timing(BoundsSection(config_ms=config_ms))
+        spent_s = timing.dead_s + timing.round_s + timing.batch_s
+        assert spent_s < config_ms / 1000
+        assert timing.stale_s < config_ms / 1000
+
+
+class TestBounds:
+    def test_a_bound_that_is_no_time_is_named(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS + "drain_ms = 0\n")
+        with pytest.raises(SettingsError, match="bounds.drain_ms: must be above 0"):
+            load_settings(path)
+
+    def test_bounds_are_read(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS + "config_ms = 4000\n")
+        assert load_settings(path).bounds.config_ms == 4000
