Hand following the store over as soon as it turns a host away

The others asked it themselves only when their copies were stale (2.2 to 2.7 s), and held a removed endpoint in doubt for 2.2 s more, as nobody said that the store was there. Ruled out: the endpoint's entry (removed at 25.007 s, requests reach it at 28.6). Change: hosts tell whether the store turns them away, and the next host by rank follows it then; one that has followed it for 1 s may say that entries are gone, and entries in doubt are dropped as soon as another host says so.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -51,6 +51,7 @@
     fence: int = 0
     steady: bool = False
     leaving: bool = False
+    cut: bool = False
     loads: list[Load] = field(default_factory=list)
     down: list[int] = field(default_factory=list)
     shut: list[int] = field(default_factory=list)
@@ -130,8 +131,7 @@
         """Tell others what is due."""
         now = self._clock()
         own = self._said = self._describe()
-        if own.leaving and not self.own.leaving:
-            self.roster.leave()
+        self.roster.tell(leaving=own.leaving, cut=own.cut)
         self._expire(now)
         report = self._report()
         hubs = self.roster.hubs(self.own.place, now)
@@ -231,14 +231,11 @@
     def follows(self) -> bool:
         """Return whether this host is one of those that follow the store.
 
-        The first hub of each data centre is; the second one too while there are
-        few data centres.
+        The first host of each data centre is; the second one too while there
+        are few data centres.
         """
-        hubs = self.roster.hubs(self.own.place, self._clock())
-        rank = [contact.name for contact in hubs]
-        if self.own.name not in rank:
-            return False
-        return rank.index(self.own.name) < self._followers_each()
+        names = self.roster.followers(self._followers_each(), self._clock())
+        return self.own.name in names
 
     def followers(self) -> int:
         """Return how many hosts follow the store."""
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -21,7 +21,8 @@
     """A host as others can reach it.
 
     ``power`` ranks hosts, ``boot`` names this run of its process, ``age_ms`` is
-    the time since the sender knew that it lives.
+    the time since the sender knew that it lives. ``cut`` tells that the store does
+    not answer it.
     """
 
     name: str
@@ -31,6 +32,7 @@
     boot: str
     leaving: bool = False
     age_ms: int = 0
+    cut: bool = False
 
 
 class Copy(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/router/src/hemlockhall_router/membership/roster.py
+++ b/packages/router/src/hemlockhall_router/membership/roster.py
@@ -54,9 +54,11 @@
         self._hubs: dict[str, list[Contact]] = {}
         self._view_deadline = float("-inf")
 
-    def leave(self) -> None:
-        """Note that this host leaves; another one is hub then."""
-        self.own = msgspec.structs.replace(self.own, leaving=True)
+    def tell(self, *, leaving: bool, cut: bool) -> None:
+        """Note what changed about this host; another one takes its part then."""
+        if (leaving, cut) == (self.own.leaving, self.own.cut):
+            return
+        self.own = msgspec.structs.replace(self.own, leaving=leaving, cut=cut)
         self._view_deadline = float("-inf")
 
     def direct(self, contact: Contact, now: float) -> bool:
@@ -126,6 +128,18 @@
         self._hubs[place] = sorted(found, key=_rank)[:HUBS]
         return self._hubs[place]
 
+    def followers(self, count: int, now: float) -> list[str]:
+        """Return which hosts of this data centre follow the store, by name.
+
+        One that the store turns away hands over to the next; if it turns all
+        away, the first ones go on trying.
+        """
+        contacts = [m.contact for m in self._by_place(now).get(self.own.place, [])]
+        contacts.append(self.own)
+        ordered = sorted(contacts, key=_rank)
+        sound = [contact for contact in ordered if not contact.cut]
+        return [contact.name for contact in (sound or ordered)[:count]]
+
     def is_hub(self, now: float) -> bool:
         """Return whether this host is a hub of its data centre."""
         hubs = self.hubs(self.own.place, now)
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -268,7 +268,10 @@
         now = time.monotonic()
         for key in list(self.held):
             deadline = self.held[key].vanished_deadline
-            if deadline is not None and now >= deadline:
+            if deadline is None:
+                continue
+            # Another host may have had the store all the while.
+            if now >= deadline or self._outage() == 0.0:
                 self._drop(key, "did not come back after the outage")
                 self._bump()
         for held in (*self.held.values(), *self._departed):
--- a/packages/router/src/hemlockhall_router/process/outage.py
+++ b/packages/router/src/hemlockhall_router/process/outage.py
@@ -11,6 +11,9 @@
     from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.process.watch import Watch
 
+# Seconds for which a host has followed the store before it can say that entries
+# are missing for good.
+STEADY_S = 1.0
 # Seconds for which entries that lapsed while the store was away may still
 # come back after its return; the platform names two, the rest is its lag.
 RETURN_S = 2.2
@@ -40,7 +43,10 @@
     def steady(self) -> bool:
         """Whether this host has the store and has not lost it lately."""
         watch = self._watch
-        return watch.reached and not self._lost_lately()
+        if not watch.reached or self._lost_lately():
+            return False
+        # One that took over a moment ago cannot tell what was before.
+        return time.monotonic() - watch.regained_at > STEADY_S
 
     def deadline(self) -> float:
         """Return the monotonic time until which entries may come back, or 0.
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -252,6 +252,7 @@
             fence=self.lease.fence,
             steady=self._outage.steady,
             leaving=self.front.leaving,
+            cut=self._routes_watch.cut or self._endpoints_watch.cut,
             loads=loads,
             down=down,
             shut=self.directory.shut_keys(),
--- a/packages/router/src/hemlockhall_router/process/watch.py
+++ b/packages/router/src/hemlockhall_router/process/watch.py
@@ -144,6 +144,13 @@
         self.reached = False
         logger.warning("store lost", table=self.table.value, cause=str(exc))
 
+    @property
+    def cut(self) -> bool:
+        """Whether the store turned this host away a moment ago."""
+        if self.reached or not self.lost_at:
+            return False
+        return time.monotonic() - self.lost_at < self._timing.outage_s
+
     def confirm(self, changed: int, complete: int, at: float) -> bool:
         """Take another host's word on its copy; return whether this one lacks rows.
 
--- a/packages/standins/src/hemlockhall_standins/router/network.py
+++ b/packages/standins/src/hemlockhall_standins/router/network.py
@@ -45,6 +45,7 @@
     slow_s: float = 0.0
     store_cut: bool = False
     loads: list[Load] = field(default_factory=list)
+    cut: bool = False
     sent: int = 0
     sent_bytes: int = 0
     learned: dict[int, float] = field(default_factory=dict)
@@ -55,7 +56,7 @@
             own,
             self.network.seeds,
             self.network.timing,
-            lambda: Own(loads=self.loads),
+            lambda: Own(loads=self.loads, cut=self.cut),
             self._copies,
             lambda address, message: self.network.post(self, address, message),
             lambda: self.network.now,
@@ -89,9 +90,11 @@
         if not self.alive:
             return
         stale = self.network.now - self.confirmed_at > self.network.timing.stale_s
-        if (self.exchange.follows() or stale) and not self.store_cut:
-            self.confirmed_at = self.network.now
-            self.take(self.network.store_version)
+        if self.exchange.follows() or stale:
+            self.cut = self.store_cut
+            if not self.cut:
+                self.confirmed_at = self.network.now
+                self.take(self.network.store_version)
         self.network.after(LOOK_S, self.look)
 
     def heard(self, message: Message) -> None:
--- a/tests/router/membership/test_exchange.py
+++ b/tests/router/membership/test_exchange.py
@@ -141,12 +141,12 @@
 
     @pytest.mark.parametrize("seed", range(5))
     def test_a_change_arrives_though_the_hubs_lost_the_store(self, seed: int) -> None:
-        """Guards against hosts that trust hubs whose connections are silent."""
+        """Guards against hosts that wait for hubs which the store turns away."""
         network = started(25, 3, seed)
         for hub in network.hubs():
             hub.store_cut = True
         network.store_version = 2
-        network.run(2.0)
+        network.run(1.0)
         assert {host.version for host in network.live()} == {2}
 
     def test_hosts_that_are_no_hubs_leave_the_store_alone(self) -> None:
