Judge no refusal of an endpoint that does not tell its memory

Cause: found while looking into a failed test: an endpoint that reports no memory counted as one with all of it free, so its refusal had it left out as one that leaves. Change: without a total nothing is judged; a test of it.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -350,7 +350,8 @@
             return
         if now - held.changed_at < SETTLED_S:
             return
-        if report.memory_used > report.memory_total * ROOMY:
+        if report.memory_used >= report.memory_total * ROOMY:
+            # It is full, or does not tell.
             return
         held.refused_at = float("-inf")
         held.shut_deadline = now + SHUT_S
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -89,6 +90,13 @@
         directory.reported("p1", report(int(TOTAL * 0.6)))
         assert directory.usable("pool") == [held]
 
+    def test_one_that_tells_no_memory_is_not(
+        self, directory: Directory, held: Held
+    ) -> None:
+        directory.refused("p1")
+        directory.reported("p1", replace(report(0), memory_total=0))
+        assert directory.usable("pool") == [held]
+
     def test_one_that_has_just_changed_is_not(self, directory: Directory) -> None:
         directory.refused("p1")
         directory.reported("p1", report(0))
