Let the slow endpoint of a test be the one that is asked first

Traced in the log: of two equal endpoints the first is drawn; if it is the one that refuses, the request was refused there before it began, is not sent there again, and the event that the slow one waits for never comes. Change: the one that refuses cannot be chosen until the stream runs at the slow one. The checks are the same.

--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -537,8 +537,18 @@
         async with hall([route]) as h:
             first = await h.endpoint("p1", slow, **fixed)
             await h.endpoint("p2", refuse, **fixed)
-            response = await h.ask("/draft/x", method="POST")
-            assert response.body == WHOLE
+            held = h.routers[0].directory.held
+            held["p2"].avoid_deadline = float("inf")
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await h.until(lambda: held["p1"].running)
+                held["p2"].avoid_deadline = 0.0
+            assert bodies == [WHOLE]
             assert len(first.arrivals) == 1
 
     async def test_a_broken_stream_waits_for_a_repeat(self) -> None:
