Refuse messages of hosts with an address that is none

Cause: found on reading: an address without a port in a datagram is answered, and the conversion of the port ends the process of whoever got it. A method that nothing uses is gone.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -224,10 +224,6 @@
             return False
         return any(place.steady for place in latest.message.places)
 
-    def answered(self) -> bool:
-        """Return whether a hub of this data centre answers this host."""
-        return self._latest(self._clock()) is not None
-
     def follows(self) -> bool:
         """Return whether this host is one of those that follow the store.
 
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
 import zlib
+from functools import lru_cache
 
 import msgspec
 
@@ -11,6 +13,9 @@
 # Bytes of the largest datagram; longer ones are fragmented, and lost with any
 # of their fragments.
 DATAGRAM_BYTES = 1400
+# Addresses whose check is remembered, and the first number that is no port.
+ADDRESSES = 1024
+PORTS = 65_536
 
 
 class MessageError(Exception):
@@ -150,9 +155,22 @@
         raise MessageError(
             f"protocol {message.protocol} is not {PROTOCOL}; update the older host"
         )
+    for contact in (message.sender, *message.contacts):
+        if not _usable(contact.address):
+            raise MessageError(f"no IP number and port: {contact.address!r:.60}")
     return message
 
 
+@lru_cache(maxsize=ADDRESSES)
+def _usable(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) < PORTS
+
+
 def endpoint_key(endpoint_id: str) -> int:
     """Return the number that stands for an endpoint in messages."""
     return zlib.crc32(endpoint_id.encode())
--- a/tests/router/membership/test_message.py
+++ b/tests/router/membership/test_message.py
@@ -17,10 +17,10 @@
 )
 
 
-def report(protocol: int = PROTOCOL) -> Report:
+def report(protocol: int = PROTOCOL, address: str = "10.0.0.1:1") -> Report:
     return Report(
         protocol=protocol,
-        sender=Contact("host-1", "10.0.0.1:1", "here", 1, "1"),
+        sender=Contact("host-1", address, "here", 1, "1"),
         copies=[],
         loads=[],
         down=[],
@@ -40,6 +40,12 @@
         with pytest.raises(MessageError, match="update the older host"):
             decode(encode(report(PROTOCOL + 1)))
 
+    @pytest.mark.parametrize("address", ["", "10.0.0.1", "10.0.0.1:x", "host:1"])
+    def test_an_address_that_is_none_is_refused(self, address: str) -> None:
+        """Guards against a datagram whose answer ends the process."""
+        with pytest.raises(MessageError, match="no IP number and port"):
+            decode(encode(report(address=address)))
+
     @given(st.binary(max_size=200))
     def test_bytes_that_are_no_message_are_refused(self, data: bytes) -> None:
         """Guards against a datagram that ends the process."""
