--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -42,6 +42,23 @@
     await arrival.end()
 
 
+def cut_once(broken: anyio.Event) -> Script:
+    """Return a script that breaks its first stream off, and writes the next."""
+
+    async def cut(arrival: Arrival) -> None:
+        await arrival.begin()
+        await arrival.event(1)
+        await broken.wait()
+        await arrival.reset()
+
+    scripts = iter((cut, write))
+
+    async def script(arrival: Arrival) -> None:
+        await next(scripts)(arrival)
+
+    return script
+
+
 @asynccontextmanager
 async def leaving_endpoint(
     script: Script, other_script: Script
@@ -395,21 +412,9 @@
         then the endpoint of a running stream breaks it off. A path is back a
         moment later; giving the stream up at once lost what the caller had."""
         broken = anyio.Event()
-
-        async def cut(arrival: Arrival) -> None:
-            await arrival.begin()
-            await arrival.event(1)
-            await broken.wait()
-            await arrival.reset()
-
-        scripts = iter((cut, write))
-
-        async def script(arrival: Arrival) -> None:
-            await next(scripts)(arrival)
-
         route = RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)
         async with hall([route]) as h:
-            await h.endpoint("p1", script, **ALL)
+            await h.endpoint("p1", cut_once(broken), **ALL)
             held = h.routers[0].directory.held["p1"]
             bodies: list[bytes] = []
 
@@ -429,21 +434,9 @@
     async def test_a_begun_stream_is_not_given_up_while_no_path_is_there(self) -> None:
         """Guards against closing streams whose layers are away for seconds."""
         broken = anyio.Event()
-
-        async def cut(arrival: Arrival) -> None:
-            await arrival.begin()
-            await arrival.event(1)
-            await broken.wait()
-            await arrival.reset()
-
-        scripts = iter((cut, write))
-
-        async def script(arrival: Arrival) -> None:
-            await next(scripts)(arrival)
-
         route = RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)
         async with hall([route]) as h:
-            await h.endpoint("p1", script, **ALL)
+            await h.endpoint("p1", cut_once(broken), **ALL)
             held = h.routers[0].directory.held["p1"]
             bodies: list[bytes] = []
 
@@ -556,21 +549,9 @@
         later repeats are left again. Giving the stream up at once lost what
         the caller had of it, and callers come back on their own then."""
         broken = anyio.Event()
-
-        async def cut(arrival: Arrival) -> None:
-            await arrival.begin()
-            await arrival.event(1)
-            await broken.wait()
-            await arrival.reset()
-
-        scripts = iter((cut, write))
-
-        async def script(arrival: Arrival) -> None:
-            await next(scripts)(arrival)
-
         route = RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)
         async with hall([route]) as h:
-            await h.endpoint("p1", script, **ALL)
+            await h.endpoint("p1", cut_once(broken), **ALL)
             budget = h.routers[0].budget
             constant, budget.constant = budget.constant, 0.0
             bodies: list[bytes] = []
