Set the entry of an ended run aside once its address has a newer one

Cause: an endpoint that crashes starts again at its address under another id, while its old entry stays in the store for three heartbeats, longer where the store refuses writes. The prober asked the old entry's address, the new run answered, and the old entry counted as back and took over the new run's layers.

Ruled out: that no other holder of some layer was known (the issue's guess): the refusals followed the failed try at once, without the wait for a path.

The worst window is the loss of all hosts, which this does not change.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -11,6 +11,7 @@
 
 from hemlockhall_router.membership.message import Fact, Load, endpoint_key
 from hemlockhall_router.membership.tally import UNHEARD_MS
+from hemlockhall_router.process.addresses import Addresses
 from hemlockhall_router.version.endpoint import LayerRange
 
 if TYPE_CHECKING:
@@ -60,7 +61,8 @@
     ``tokens`` are those of its requests, ``unread`` those of the requests without
     an event so far, whose prompts it still reads; ``elsewhere``,
     ``tokens_elsewhere`` and ``unread_elsewhere`` are the same of other hosts there.
-    ``ahead`` tells that its layers are newer than its entry in the store.
+    ``ahead`` tells that its layers are newer than its entry in the store,
+    ``replaced`` that another run has its address by now.
     An event came through it at ``heard_at``, here or at another host, and here at
     ``heard_here_at``.
     """
@@ -87,6 +89,7 @@
     shut_here: bool = False
     changed_at: float = field(default_factory=time.monotonic)
     ahead: bool = False
+    replaced: bool = False
     heard_at: float = 0.0
     heard_here_at: float = 0.0
     running: set[Running] = field(default_factory=set)
@@ -94,6 +97,8 @@
     @property
     def suspect(self) -> bool:
         """Whether it should be asked again without a new reason."""
+        if self.replaced:
+            return False
         return self.down or self.pace > 1.0 + PACE_STEP
 
     @property
@@ -111,13 +116,24 @@
         """Tokens of the requests of all hosts there, as far as is known."""
         return self.tokens + self.tokens_elsewhere
 
+    def renew(self) -> None:
+        """Forget what was seen of an earlier run."""
+        self.failures = 0
+        self.avoid_deadline = 0.0
+        self.down = False
+        self.pace = 1.0
+        self.shut_deadline = 0.0
+        self.replaced = False
+
     def shut(self, now: float) -> bool:
         """Return whether it seems to leave without a word in the store."""
         return now < self.shut_deadline
 
     def usable(self, now: float) -> bool:
         """Return whether a new request may go there."""
-        if self.endpoint.draining or self.down or self.shut(now):
+        if self.endpoint.draining or self.replaced:
+            return False
+        if self.down or self.shut(now):
             return False
         return now >= self.avoid_deadline
 
@@ -149,6 +165,7 @@
         self.running: set[Running] = set()
         self.version = 0
         self._departed: list[Held] = []
+        self._addresses = Addresses()
 
     def take(self, rows: list[Row]) -> None:
         """Act on changed rows of the endpoint table."""
@@ -165,7 +182,9 @@
     def _put(self, endpoint: Endpoint) -> None:
         held = self.held.get(endpoint.id)
         if held is None:
-            self.held[endpoint.id] = Held(endpoint, key=endpoint_key(endpoint.id))
+            held = Held(endpoint, key=endpoint_key(endpoint.id))
+            self.held[endpoint.id] = held
+            self._occupy(held)
             logger.info(
                 "endpoint appeared",
                 endpoint=endpoint.id,
@@ -177,12 +196,8 @@
             return
         old = held.endpoint
         held.vanished_deadline = None
-        if old.incarnation != endpoint.incarnation or old.address != endpoint.address:
-            held.failures = 0
-            held.avoid_deadline = 0.0
-            held.down = False
-            held.pace = 1.0
-            held.shut_deadline = 0.0
+        renewed = old.incarnation != endpoint.incarnation
+        renewed = renewed or old.address != endpoint.address
         if endpoint.draining and held.leave_deadline is None:
             held.leave_deadline = time.monotonic() + self._timing.move_s
         if old.draining != endpoint.draining or old.layers != endpoint.layers:
@@ -192,13 +207,32 @@
                 layers=_span(endpoint),
                 draining=endpoint.draining,
             )
+        if renewed:
+            self._addresses.leave(held)
+            held.renew()
         held.endpoint = self._newest(held, endpoint)
-        if (
-            held.endpoint.layers != old.layers
-            or old.incarnation != endpoint.incarnation
-        ):
+        if renewed:
+            self._occupy(held)
+        if renewed or held.endpoint.layers != old.layers:
             held.changed_at = time.monotonic()
 
+    def _occupy(self, held: Held) -> None:
+        """Take the address of an endpoint from a run there that has ended.
+
+        The new run answers for the old one there, which would seem to be back.
+        """
+        ended = self._addresses.occupy(held)
+        if ended is None:
+            return
+        ended.replaced = True
+        logger.info(
+            "endpoint replaced",
+            endpoint=ended.endpoint.id,
+            by=held.endpoint.id,
+            streams=len(ended.running),
+        )
+        _move(ended, "endpoint replaced")
+
     def _newest(self, held: Held, entry: Endpoint) -> Endpoint:
         """Return an entry of the store, with layers that are newer than it."""
         old = held.endpoint
@@ -254,6 +288,7 @@
 
     def _drop(self, key: str, cause: str) -> None:
         held = self.held.pop(key)
+        self._addresses.leave(held)
         if held.running:
             # Some endpoints leave without a word and serve on as long as the
             # others do.
@@ -300,8 +335,9 @@
             endpoint = held.endpoint
             if endpoint.service != service or endpoint.draining:
                 continue
-            if not held.down and not held.shut(now):
-                found.append(endpoint)
+            if held.down or held.replaced or held.shut(now):
+                continue
+            found.append(endpoint)
         return found
 
     def failed(self, key: str, cause: str) -> None:
@@ -409,7 +445,7 @@
     def reported(self, key: str, report: Report) -> None:
         """Take what an endpoint says of itself, if it is the same run."""
         held = self.held.get(key)
-        if held is None:
+        if held is None or held.replaced:
             return
         self._judge_refusal(held, report)
         old = held.endpoint
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -83,7 +83,9 @@
         again_s = AGAIN_S * max(1.0, self._hosts() / HOSTS)
         for key in ids:
             held = self._directory.held.get(key)
-            if held is None or now - held.checked_at < again_s:
+            if held is None or held.replaced:
+                continue
+            if now - held.checked_at < again_s:
                 continue
             held.checked_at = now
             self._doubted.add(key)
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -164,3 +164,57 @@
         directory.set_elsewhere({held.key: Load(held.key, 1, 100, 0, 50)})
         assert not held.down
         assert held.load == 1
+
+
+class TestReusedAddress:
+    def restart(self, directory: Directory) -> None:
+        """Let an endpoint appear anew at the address of one that crashed."""
+        directory.set_down("p1", down=True)
+        value = msgspec.json.encode(EndpointRow("pool", 1, born=7))
+        directory.take([Row("p2", value, 2)])
+
+    def test_an_old_run_gets_no_requests_once_its_address_has_a_new_one(
+        self, directory: Directory
+    ) -> None:
+        """Guards against paths with one address twice, which engines refuse."""
+        self.restart(directory)
+        directory.set_down("p1", down=False)
+        assert directory.usable("pool") == [directory.held["p2"]]
+
+    def test_an_old_run_is_given_no_orders_once_its_address_has_a_new_one(
+        self, directory: Directory
+    ) -> None:
+        """Guards against layers that are counted as held by a run that ended."""
+        self.restart(directory)
+        directory.set_down("p1", down=False)
+        assert [member.id for member in directory.members("pool")] == ["p2"]
+
+    def test_a_report_of_the_new_run_does_not_revive_the_old_one(
+        self, directory: Directory
+    ) -> None:
+        """Guards against an old entry that takes over the layers of the new run."""
+        directory.held["p1"].endpoint = replace(directory.held["p1"].endpoint, born=3)
+        answer = replace(report(0, orders=1, layers=LayerRange(0, 4)), born=7)
+        directory.set_down("p1", down=True)
+        directory.reported("p1", answer)
+        self.restart(directory)
+        directory.set_down("p1", down=False)
+        assert directory.usable("pool") == [directory.held["p2"]]
+
+    def test_an_entry_that_comes_late_does_not_replace_a_newer_run(
+        self, directory: Directory
+    ) -> None:
+        """Guards against a delayed entry that takes the live run out of service."""
+        directory.held["p1"].endpoint = replace(directory.held["p1"].endpoint, born=9)
+        self.restart(directory)
+        directory.set_down("p1", down=False)
+        assert directory.usable("pool") == [directory.held["p1"]]
+
+    def test_a_new_run_under_the_old_id_is_used(self, directory: Directory) -> None:
+        """Guards against an endpoint that restarts under its id and stays unused."""
+        self.restart(directory)
+        directory.take([Row("p2", b"", 3, True)])
+        value = msgspec.json.encode(EndpointRow("pool", 1, born=8))
+        directory.take([Row("p1", value, 4)])
+        directory.set_down("p1", down=False)
+        assert directory.usable("pool") == [directory.held["p1"]]
