--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/catalog.py
@@ -0,0 +1,103 @@
+"""The endpoints of each service by replica, for choices among many of them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from hemlockhall_router.version.replica import Division
+
+if TYPE_CHECKING:
+    from hemlockhall_router.process.directory import Directory, Held
+    from hemlockhall_router.version.replica import Replica
+    from hemlockhall_router.version.routing import Model
+
+# Endpoints among which one request chooses its path, if there are more.
+SAMPLE = 130
+# Replicas of the own data centre in a sample: one may be broken or full.
+HOME_REPLICAS = 2
+
+
+@dataclass(slots=True)
+class _Entry:
+    """One service; ``generation`` is that of the directory it was made from."""
+
+    generation: int = -1
+    endpoints: list[Held] = field(default_factory=list)
+    division: Division = field(default_factory=Division)
+    replicas: dict[Replica, list[Held]] = field(default_factory=dict)
+
+
+class Catalog:
+    """Lists of endpoints that follow the directory."""
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._entries: dict[str, _Entry] = {}
+
+    def endpoints(self, service: str) -> list[Held]:
+        """Return all endpoints of a service."""
+        return self._entry(service, None).endpoints
+
+    def division(self, service: str, model: Model) -> Division:
+        """Return how the data centres of a service are divided."""
+        return self._entry(service, model).division
+
+    def sample(
+        self,
+        service: str,
+        model: Model,
+        home: str,
+        starts_at: frozenset[str] | None = None,
+    ) -> list[Held]:
+        """Return endpoints among which a request may find a path.
+
+        Two replicas of the data centre ``home``, and those of others up to a bound;
+        with ``starts_at`` also the replicas of these endpoints. All of them if they
+        are few.
+        """
+        entry = self._entry(service, model)
+        if len(entry.endpoints) <= SAMPLE:
+            return entry.endpoints
+        chosen: set[Replica] = set()
+        for key in starts_at or ():
+            held = self._directory.held.get(key)
+            if held is not None:
+                chosen.add(entry.division.replica(held.endpoint))
+        near = [replica for replica in entry.replicas if replica.data_centre == home]
+        far = [replica for replica in entry.replicas if replica.data_centre != home]
+        random.shuffle(near)
+        random.shuffle(far)
+        chosen.update(near[:HOME_REPLICAS])
+        found = [held for replica in chosen for held in entry.replicas[replica]]
+        for replica in far:
+            if len(found) >= SAMPLE:
+                break
+            if replica not in chosen:
+                found += entry.replicas[replica]
+        return found
+
+    def _entry(self, service: str, model: Model | None) -> _Entry:
+        entry = self._entries.setdefault(service, _Entry())
+        if entry.generation != self._directory.generation:
+            entry.generation = self._directory.generation
+            entry.endpoints = []
+            entry.replicas = {}
+            for held in self._directory.held.values():
+                if held.endpoint.service == service:
+                    entry.endpoints.append(held)
+        if model is not None and not entry.replicas:
+            self._divide(entry, model)
+        return entry
+
+    def _divide(self, entry: _Entry, model: Model) -> None:
+        entry.division.update(model, [held.endpoint for held in entry.endpoints])
+        for held in entry.endpoints:
+            replica = entry.division.replica(held.endpoint)
+            entry.replicas.setdefault(replica, []).append(held)
+
+
+__all__ = [
+    "Catalog",
+]
--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -129,14 +129,32 @@
         tried: set[str],
         size: int,
         starts_at: frozenset[str] | None,
+    ) -> Path | None:
+        catalog = self._directory.catalog
+        sample = catalog.sample(service.name, model, self._home, starts_at)
+        path = self._search(service, model, sample, tried, size, starts_at)
+        endpoints = catalog.endpoints(service.name)
+        if path is not None or len(sample) == len(endpoints):
+            return path
+        return self._search(service, model, endpoints, tried, size, starts_at)
+
+    def _search(
+        self,
+        service: Service,
+        model: Model,
+        candidates: list[Held],
+        tried: set[str],
+        size: int,
+        starts_at: frozenset[str] | None,
     ) -> Path | None:
         # A prompt is read later by the time that its activations take the pipe.
         pipe_ms = FAR_MS + READING_WEIGHT * 1000 * transfer_s(model, size)
         tolls = {}
         hosts = self._hosts()
+        now = time.monotonic()
         endpoints = []
-        for held in self._directory.usable(service.name):
-            if held.endpoint.id in tried:
+        for held in candidates:
+            if held.endpoint.id in tried or not held.usable(now):
                 continue
             tolls[held.endpoint.id] = _toll(held, model, service.slots, size, hosts)
             endpoints.append(held.endpoint)
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -12,6 +12,7 @@
 from hemlockhall_router.membership.message import Fact, Load, endpoint_key
 from hemlockhall_router.membership.tally import UNHEARD_MS
 from hemlockhall_router.process.addresses import Addresses
+from hemlockhall_router.process.catalog import Catalog
 from hemlockhall_router.version.endpoint import LayerRange
 
 if TYPE_CHECKING:
@@ -141,6 +142,8 @@
 class Directory:
     """All endpoints by id.
 
+    ``version`` counts changes, ``generation`` those of which endpoints there are.
+
     Parameters
     ----------
     decode : callable
@@ -164,6 +167,8 @@
         self.held: dict[str, Held] = {}
         self.running: set[Running] = set()
         self.version = 0
+        self.generation = 0
+        self.catalog = Catalog(self)
         self._departed: list[Held] = []
         self._addresses = Addresses()
 
@@ -179,12 +184,17 @@
                 self._put(endpoint)
         self._bump()
 
+    def enter(self, endpoint: Endpoint) -> Held:
+        """Enter a new endpoint, and return its record."""
+        held = Held(endpoint, key=endpoint_key(endpoint.id))
+        self.held[endpoint.id] = held
+        self.generation += 1
+        return held
+
     def _put(self, endpoint: Endpoint) -> None:
         held = self.held.get(endpoint.id)
         if held is None:
-            held = Held(endpoint, key=endpoint_key(endpoint.id))
-            self.held[endpoint.id] = held
-            self._occupy(held)
+            self._occupy(self.enter(endpoint))
             logger.info(
                 "endpoint appeared",
                 endpoint=endpoint.id,
@@ -210,6 +220,7 @@
         if renewed:
             self._addresses.leave(held)
             held.renew()
+            self.generation += 1
         held.endpoint = self._newest(held, endpoint)
         if renewed:
             self._occupy(held)
@@ -289,6 +300,7 @@
     def _drop(self, key: str, cause: str) -> None:
         held = self.held.pop(key)
         self._addresses.leave(held)
+        self.generation += 1
         if held.running:
             # Some endpoints leave without a word and serve on as long as the
             # others do.
@@ -322,8 +334,8 @@
         """Return the endpoints of a service that new requests may use."""
         now = time.monotonic()
         found = []
-        for held in self.held.values():
-            if held.endpoint.service == service and held.usable(now):
+        for held in self.catalog.endpoints(service):
+            if held.usable(now):
                 found.append(held)
         return found
 
@@ -331,9 +343,9 @@
         """Return the endpoints of a service that live and do not leave."""
         now = time.monotonic()
         found = []
-        for held in self.held.values():
+        for held in self.catalog.endpoints(service):
             endpoint = held.endpoint
-            if endpoint.service != service or endpoint.draining:
+            if endpoint.draining:
                 continue
             if held.down or held.replaced or held.shut(now):
                 continue
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -17,7 +17,8 @@
 from hemlockhall_router.connection.error import WireError
 from hemlockhall_router.process.dialect import DecodeError
 from hemlockhall_router.process.prober import call_endpoint
-from hemlockhall_router.version.layout import plan, whole
+from hemlockhall_router.version.layout import plan, too_long, whole
+from hemlockhall_router.version.path import MAX_PARTS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,10 +31,19 @@
     from hemlockhall_router.process.prober import Prober
     from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.version.endpoint import Endpoint, LayerRange
+    from hemlockhall_router.version.layout import GroupState
+    from hemlockhall_router.version.replica import Division
     from hemlockhall_router.version.routing import Model, Routing
 
 # Seconds between two plans.
 INTERVAL_S = 0.2
+# The same where nothing is known to have changed.
+CALM_INTERVAL_S = 1.0
+# Orders under way at once, as a multiple of the loads that the weight store serves
+# at full speed: the rest would wait there, and hold up those that come first.
+ORDERS_AT_ONCE = 8
+# Part of these that may be spent on what no copy is broken for.
+CALM_PART = 0.5
 # Seconds an order may take to be accepted.
 ORDER_S = 0.3
 # Times that an order without an answer is given.
@@ -90,6 +100,8 @@
         self._known: dict[str, set[tuple[str, int]]] = {}
         self._settle_deadlines: dict[str, float] = {}
         self._rest: dict[str, float] = {}
+        self._calm: dict[str, tuple[int, float]] = {}
+        self._settled: dict[str, set[GroupState]] = {}
 
     async def run(self) -> None:
         """Plan until cancelled."""
@@ -106,8 +118,11 @@
                         self._step(service.name, service.model, group)
 
     def _step(self, service: str, model: Model, group: anyio.abc.TaskGroup) -> None:
-        members = self._directory.members(service)
         now = time.monotonic()
+        version, calm_deadline = self._calm.get(service, (-1, 0.0))
+        if version == self._directory.version and now < calm_deadline:
+            return
+        members = self._directory.members(service)
         self._settle(service, members, now)
         held: dict[str, LayerRange | None] = {}
         for endpoint in members:
@@ -118,21 +133,58 @@
         by_id = {endpoint.id: endpoint for endpoint in members}
         serving = {endpoint.id: endpoint.layers for endpoint in members}
         fixed = frozenset(key for key in by_id if self._fixed(by_id[key], now))
+        division = self._directory.catalog.division(service, model)
         # A copy without some layers serves nobody. Waiting until the streams on
         # an endpoint have ended leaves it so for as long as they take, which
         # under load is many seconds; those few streams go on elsewhere.
-        at_once = not whole(model, members, serving)
-        for key, layers in plan(model, members, held, serving, fixed).items():
-            if key in fixed:
+        at_once = not whole(model, members, serving, division)
+        settled = self._settled.setdefault(service, set())
+        orders = plan(model, members, held, serving, fixed, division, settled)
+        if not orders and not fixed:
+            calm_deadline = now + CALM_INTERVAL_S
+            self._calm[service] = (self._directory.version, calm_deadline)
+        refused: frozenset[str] = frozenset()
+        if orders:
+            wanted = {**held, **orders}
+            refused = self._refused(service, model, members, wanted, division)
+        most = ORDERS_AT_ONCE * max(1, model.loads_at_once)
+        if not at_once:
+            most = int(most * CALM_PART)
+        for key, layers in orders.items():
+            if key in fixed or key in refused:
                 continue
+            if len(self._pending) >= most:
+                break
             endpoint = by_id[key]
             share = layers.size / model.layers
-            load_s = model.load_s * share * len(members) / max(1, model.loads_at_once)
+            together = min(most, len(members)) / max(1, model.loads_at_once)
+            load_s = model.load_s * share * together
             deadline = now + load_s + LOAD_ALLOWANCE_S
             order = Pending(layers, deadline, at_once)
             self._pending[endpoint.incarnation] = order
             group.start_soon(self._order, endpoint, order)
 
+    def _refused(
+        self,
+        service: str,
+        model: Model,
+        members: list[Endpoint],
+        wanted: dict[str, LayerRange | None],
+        division: Division,
+    ) -> frozenset[str]:
+        """Return the endpoints that get no orders, as no request could use them."""
+        refused = too_long(model, members, wanted, division)
+        if refused:
+            self._metrics.count("plans_refused", "too_many_parts")
+            logger.error(
+                "plan refused",
+                service=service,
+                endpoints=len(refused),
+                cause=f"its shortest path has more than {MAX_PARTS} parts; "
+                "add endpoints with more memory",
+            )
+        return refused
+
     def _settle(self, service: str, members: list[Endpoint], now: float) -> None:
         present = {endpoint.incarnation for endpoint in members}
         known = self._known.get(service, set())
--- a/packages/router/src/hemlockhall_router/version/coverage.py
+++ b/packages/router/src/hemlockhall_router/version/coverage.py
@@ -16,6 +16,22 @@
 STARTS = 1
 
 
+def fewest_parts(model: Model, ranges: list[LayerRange]) -> int | None:
+    """Return the parts of the shortest path through ranges, or None without one."""
+    ordered = sorted(ranges, key=lambda layers: layers.first)
+    reached = parts = index = 0
+    while reached < model.layers:
+        furthest = reached
+        while index < len(ordered) and ordered[index].first <= reached:
+            furthest = max(furthest, ordered[index].end)
+            index += 1
+        if furthest == reached:
+            return None
+        reached = furthest
+        parts += 1
+    return parts
+
+
 class Coverage:
     """Counts of the holders of each layer."""
 
@@ -78,4 +94,5 @@
 
 __all__ = [
     "Coverage",
+    "fewest_parts",
 ]
--- a/packages/router/src/hemlockhall_router/version/layout.py
+++ b/packages/router/src/hemlockhall_router/version/layout.py
@@ -1,10 +1,11 @@
 """Which endpoint should hold which layers.
 
 Each data centre that has the memory holds a whole copy, because activations
-of a prompt fill the links between data centres. What memory is left holds
-layers a second time: the loss of an endpoint whose layers are held twice
-interrupts nothing, and one that is not needed for the copy can take over the
-layers of another without taking any out of service.
+of a prompt fill the links between data centres; a large one is divided into
+replicas that each hold copies of their own. What memory is left holds layers
+again: the loss of an endpoint whose layers are held twice interrupts nothing, and
+one that is not needed for the copy can take over the layers of another without
+taking any out of service.
 """
 
 from __future__ import annotations
@@ -12,9 +13,10 @@
 from typing import TYPE_CHECKING
 
 from hemlockhall_router.version.balance import improve_group, weakest
-from hemlockhall_router.version.coverage import Coverage
+from hemlockhall_router.version.coverage import Coverage, fewest_parts
 from hemlockhall_router.version.endpoint import LayerRange
 from hemlockhall_router.version.member import FILL, FULL, Member
+from hemlockhall_router.version.path import MAX_PARTS
 from hemlockhall_router.version.repair import (
     fill_by_growth,
     fill_by_neighbours,
@@ -31,8 +33,14 @@
     from collections.abc import Iterable
 
     from hemlockhall_router.version.endpoint import Endpoint
+    from hemlockhall_router.version.replica import Division, Replica
     from hemlockhall_router.version.routing import Model
 
+# What the improvements of a group follow from.
+GroupState = tuple[
+    bool, tuple[tuple[str, LayerRange | None, LayerRange | None, bool], ...]
+]
+
 # Memory of a group against that of one copy below which the group does not
 # stand alone: what is left over holds requests.
 GROUP_ROOM = 1.2
@@ -44,9 +52,14 @@
     held: dict[str, LayerRange | None],
     serving: dict[str, LayerRange | None] | None = None,
     fixed: frozenset[str] = frozenset(),
+    division: Division | None = None,
+    settled: set[GroupState] | None = None,
 ) -> dict[str, LayerRange]:
     """Return the layers that endpoints should be ordered to hold.
 
+    Orders stand in the order in which they should be given: the fastest endpoints
+    of each replica first, which complete its first copy.
+
     Parameters
     ----------
     model : Model
@@ -59,36 +72,90 @@
         By endpoint id, what it holds without the orders under way.
     fixed : frozenset of str
         Ids of the endpoints that take no other order now.
+    division : Division, optional
+        How data centres are divided into replicas; not at all if not given.
+    settled : set of GroupState, optional
+        States of groups that an earlier plan found nothing to improve in; brought up
+        to date, so that a plan looks only at groups that changed.
     """
     serving = held if serving is None else serving
-    found = groups(model, _members(model, endpoints, held, serving, fixed))
+    members = _members(model, endpoints, held, serving, fixed)
+    found = groups(model, members, division)
     rebuilt = _may_rebuild(model, found)
-    orders: dict[str, LayerRange] = {}
+    repairs = []
     for index, group in enumerate(found):
-        orders.update(repair_group(model, group, rebuild=index == rebuilt))
+        repairs.append(repair_group(model, group, rebuild=index == rebuilt))
+    orders = _interleaved(repairs)
     if orders:
         return orders
     # Loads share the weight store: while a copy is being mended only endpoints
     # that serve nothing are given layers.
     whole = not any(Coverage.kept(model, group).holes() for group in found)
+    known = settled if settled is not None else set()
+    calm: set[GroupState] = set()
     for group in found:
-        orders.update(improve_group(model, group, only_empty=not whole))
+        state = _state(group, only_empty=not whole)
+        improvements = {}
+        if state not in known:
+            improvements = improve_group(model, group, only_empty=not whole)
+        if not improvements:
+            calm.add(state)
+        orders.update(improvements)
+    if settled is not None:
+        settled.clear()
+        settled.update(calm)
     return orders
 
 
+def _state(group: list[Member], *, only_empty: bool) -> GroupState:
+    members = []
+    for member in group:
+        members.append((member.endpoint.id, member.held, member.serving, member.fixed))
+    return (only_empty, tuple(members))
+
+
+def _interleaved(found: list[dict[str, LayerRange]]) -> dict[str, LayerRange]:
+    """Return the orders of all groups, with those that come first in each first."""
+    ranked: list[tuple[int, int, str]] = []
+    merged: dict[str, LayerRange] = {}
+    for index, orders in enumerate(found):
+        merged.update(orders)
+        for position, key in enumerate(orders):
+            ranked.append((position, index, key))
+    return {key: merged[key] for _, _, key in sorted(ranked)}
+
+
 def whole(
     model: Model,
     endpoints: Iterable[Endpoint],
     serving: dict[str, LayerRange | None],
+    division: Division | None = None,
 ) -> bool:
     """Return whether each group serves all layers now."""
     members = _members(model, endpoints, serving, serving, frozenset())
-    for group in groups(model, members):
+    for group in groups(model, members, division):
         if Coverage(model, group).holes():
             return False
     return True
 
 
+def too_long(
+    model: Model,
+    endpoints: Iterable[Endpoint],
+    held: dict[str, LayerRange | None],
+    division: Division | None = None,
+) -> frozenset[str]:
+    """Return the ids of the endpoints in groups whose paths engines would refuse."""
+    found: set[str] = set()
+    members = _members(model, endpoints, held, held, frozenset())
+    for group in groups(model, members, division):
+        ranges = [member.held for member in group if member.held is not None]
+        parts = fewest_parts(model, ranges)
+        if parts is not None and parts > MAX_PARTS:
+            found.update(member.endpoint.id for member in group)
+    return frozenset(found)
+
+
 def _members(
     model: Model,
     endpoints: Iterable[Endpoint],
@@ -123,11 +190,13 @@
     return broken
 
 
-def groups(model: Model, members: list[Member]) -> list[list[Member]]:
+def groups(
+    model: Model, members: list[Member], division: Division | None = None
+) -> list[list[Member]]:
     """Split members into groups that each hold a copy.
 
-    A data centre stands alone if its memory suffices; the others together
-    form one group.
+    A data centre stands alone if its memory suffices, as one group for each of its
+    replicas; the others together form one group.
     """
     by_place: dict[str, list[Member]] = {}
     for member in sorted(members, key=lambda member: member.endpoint.id):
@@ -137,7 +206,7 @@
     for place in sorted(by_place):
         group = by_place[place]
         if capacity(group) >= model.layers * GROUP_ROOM:
-            alone.append(group)
+            alone += _replicas(group, division)
         else:
             rest += group
     if capacity(rest) >= model.layers * GROUP_ROOM or (rest and not alone):
@@ -145,6 +214,15 @@
     return alone
 
 
+def _replicas(group: list[Member], division: Division | None) -> list[list[Member]]:
+    if division is None:
+        return [group]
+    parts: dict[Replica, list[Member]] = {}
+    for member in group:
+        parts.setdefault(division.replica(member.endpoint), []).append(member)
+    return [parts[replica] for replica in sorted(parts)]
+
+
 def repair_group(
     model: Model, group: list[Member], *, rebuild: bool = True
 ) -> dict[str, LayerRange]:
@@ -252,5 +330,6 @@
     "plan",
     "repair_group",
     "share_out",
+    "too_long",
     "whole",
 ]
--- a/packages/router/src/hemlockhall_router/version/path.py
+++ b/packages/router/src/hemlockhall_router/version/path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -96,64 +97,113 @@
     starts_at : frozenset of str, optional
         Ids of the endpoints that may be the first; all if not given.
     """
-    holders = [e for e in endpoints if e.layers is not None and e.layers.size > 0]
-    cuts = {0, model.layers}
-    for endpoint in holders:
-        assert endpoint.layers is not None
-        cuts.add(max(0, endpoint.layers.first))
-        cuts.add(min(model.layers, endpoint.layers.end))
-    order = sorted(cuts)
-    tolls = {endpoint.id: toll(endpoint) for endpoint in holders}
+    stops = _stops(model, endpoints, toll, starts_at)
     # The cheapest step that ends at a cut, for each data centre it ends in.
-    best: dict[int, dict[str, _Step]] = {cut: {} for cut in order}
-    for index, cut in enumerate(order[:-1]):
-        starts = list(best[cut].values())
-        if cut > 0 and not starts:
+    best: dict[int, dict[str, _Step]] = {cut: {} for cut in stops.order}
+    for cut in stops.order[:-1]:
+        if cut > 0 and not best[cut]:
             continue
-        for endpoint in holders:
-            layers = endpoint.layers
-            assert layers is not None
-            if not layers.first <= cut < layers.end:
-                continue
-            if cut == 0 and starts_at is not None and endpoint.id not in starts_at:
-                continue
-            cost_of_use = tolls[endpoint.id]
-            before, reach = _cheapest(starts, endpoint, home, far_ms)
-            reach += cost_of_use.pass_ms
+        entries: dict[str, tuple[_Step | None, float]] = {}
+        for stage in stops.entered[cut]:
+            place = stage.endpoint.data_centre
+            if place not in entries:
+                entries[place] = _cheapest(best[cut], place, home, far_ms)
+            before, reach = entries[place]
+            reach += stage.toll.pass_ms
             if cut == 0:
-                reach += cost_of_use.start_ms
-            accelerator = model.accelerators.get(endpoint.accelerator)
-            pace = accelerator.step_factor if accelerator else 1.0
-            per_layer = model.step_ms * pace * cost_of_use.factor / model.layers
-            per_layer += cost_of_use.layer_ms
-            for end in order[index + 1 :]:
-                if end > layers.end:
-                    break
-                cost = reach + per_layer * (end - cut)
-                held = best[end].get(endpoint.data_centre)
-                if held is None or cost < held.cost:
-                    best[end][endpoint.data_centre] = _Step(cost, endpoint, cut, before)
+                reach += stage.toll.start_ms
+            for end in stage.exits:
+                if end <= cut:
+                    continue
+                cost = reach + stage.layer_ms * (end - cut)
+                known = best[end].get(place)
+                if known is None or cost < known.cost:
+                    best[end][place] = _Step(cost, stage.endpoint, cut, before)
     final = list(best[model.layers].values())
     if not final:
         return None
     return _trace(min(final, key=lambda step: step.cost), model.layers)
 
 
+@dataclass(slots=True)
+class _Stage:
+    """An endpoint that may be part of a path; it may be left at ``exits``."""
+
+    endpoint: Endpoint
+    toll: Toll
+    layer_ms: float
+    exits: list[int]
+
+
+@dataclass(slots=True)
+class _Stops:
+    """The cuts between layers in order, and what may be entered at each."""
+
+    order: list[int]
+    entered: dict[int, list[_Stage]]
+
+
+def _stops(
+    model: Model,
+    endpoints: Iterable[Endpoint],
+    toll: Callable[[Endpoint], Toll],
+    starts_at: frozenset[str] | None,
+) -> _Stops:
+    """Return where a path may change endpoints.
+
+    The cost is linear in the layer at which one endpoint hands over to the next, so
+    the cheapest place is where the next one's range begins or the present one's ends.
+    """
+    firsts, ends = {0}, {0, model.layers}
+    stages = []
+    for endpoint in endpoints:
+        layers = endpoint.layers
+        if layers is None or layers.size <= 0:
+            continue
+        firsts.add(max(0, layers.first))
+        ends.add(min(model.layers, layers.end))
+        stages.append(_stage(model, endpoint, toll(endpoint)))
+    order = sorted(firsts | ends)
+    left_at = sorted(firsts)
+    entered_at = sorted(ends)
+    entered: dict[int, list[_Stage]] = {cut: [] for cut in order}
+    for stage in stages:
+        layers = stage.endpoint.layers
+        assert layers is not None
+        first, end = max(0, layers.first), min(model.layers, layers.end)
+        inner = left_at[bisect_right(left_at, first) : bisect_left(left_at, end)]
+        stage.exits = [*inner, end]
+        for cut in entered_at[bisect_right(entered_at, first) :]:
+            if cut >= end:
+                break
+            entered[cut].append(stage)
+        if first > 0 or starts_at is None or stage.endpoint.id in starts_at:
+            entered[first].append(stage)
+    return _Stops(order, entered)
+
+
+def _stage(model: Model, endpoint: Endpoint, toll: Toll) -> _Stage:
+    accelerator = model.accelerators.get(endpoint.accelerator)
+    pace = accelerator.step_factor if accelerator else 1.0
+    layer_ms = model.step_ms * pace * toll.factor / model.layers + toll.layer_ms
+    return _Stage(endpoint, toll, layer_ms, [])
+
+
 def _cheapest(
-    starts: list[_Step],
-    endpoint: Endpoint,
+    steps: dict[str, _Step],
+    place: str,
     home: str,
     far_ms: Callable[[str, str], float],
 ) -> tuple[_Step | None, float]:
-    if not starts:
-        far = endpoint.data_centre != home
-        return None, HOP_MS + (FAR_START_MS if far else 0.0)
-    chosen = starts[0]
+    """Return the step from which a data centre is reached at the least cost."""
+    if not steps:
+        return None, HOP_MS + (FAR_START_MS if place != home else 0.0)
+    chosen = None
     cost = float("inf")
-    for step in starts:
+    for here, step in steps.items():
         reach = step.cost + HOP_MS
-        if step.endpoint.data_centre != endpoint.data_centre:
-            reach += far_ms(step.endpoint.data_centre, endpoint.data_centre)
+        if here != place:
+            reach += far_ms(here, place)
         if reach < cost:
             chosen, cost = step, reach
     return chosen, cost
@@ -198,6 +248,7 @@
 
 
 __all__ = [
+    "MAX_PARTS",
     "Part",
     "Path",
     "Toll",
--- a/packages/router/src/hemlockhall_router/version/target.py
+++ b/packages/router/src/hemlockhall_router/version/target.py
@@ -10,9 +10,6 @@
     from hemlockhall_router.version.member import Member
     from hemlockhall_router.version.routing import Model
 
-# Copies that a group holds at most: a third one would protect against losses
-# of both holders of a layer within a second, and costs memory for requests.
-COPIES = 2.0
 # Layers that a group should hold at least, in copies: the ranges must overlap
 # for layers to pass from one member to another without an interruption.
 SLACK = 1.05
@@ -30,7 +27,7 @@
     More than usual where that does not hold a copy and ``SLACK``: then those
     beside a member that took over too much grow, and it gives that up again.
     """
-    fill = min(FILL, COPIES * model.layers / max(1, capacity(group)))
+    fill = FILL
     while fill < FULL:
         if (
             sum(target_size(model, member, fill) for member in group)
--- a/packages/standins/src/hemlockhall_standins/router/pool.py
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from hemlockhall_router.process.directory import Directory, Held
+from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.timing import Timing
 from hemlockhall_router.version.endpoint import Endpoint
 from hemlockhall_router.version.routing import Accelerator, Model, Service
 
 if TYPE_CHECKING:
+    from hemlockhall_router.process.directory import Held
     from hemlockhall_router.version.endpoint import LayerRange
 
 SERVICE = "pool"
@@ -52,8 +53,7 @@
     endpoint = Endpoint(
         name, SERVICE, "10.0.0.1", 1, place, accelerator=accelerator, layers=layers
     )
-    known.held[name] = Held(endpoint)
-    return known.held[name]
+    return known.enter(endpoint)
 
 
 __all__ = [
--- a/tests/router/test_layout.py
+++ b/tests/router/test_layout.py
@@ -13,7 +13,7 @@
 from hemlockhall_router.version.endpoint import Endpoint, LayerRange
 from hemlockhall_router.version.layout import plan
 from hemlockhall_router.version.member import FILL, Member
-from hemlockhall_router.version.path import Toll, find_path
+from hemlockhall_router.version.path import FAR_START_MS, HOP_MS, Toll, find_path
 from hemlockhall_router.version.routing import Accelerator, Model
 
 KINDS = {
@@ -397,6 +397,56 @@
                 assert places == {place}
 
 
+def naive_cost(found: list[Endpoint], tolls: dict[str, Toll], home: str) -> float:
+    """Return the least cost of all paths, with a change at every layer."""
+    best: list[dict[str, float]] = [{} for _ in range(MODEL.layers + 1)]
+    for cut in range(MODEL.layers):
+        if cut and not best[cut]:
+            continue
+        for endpoint in found:
+            layers, toll = endpoint.layers, tolls[endpoint.id]
+            if layers is None or not layers.first <= cut < layers.end:
+                continue
+            place = endpoint.data_centre
+            reach = HOP_MS + toll.pass_ms
+            if cut:
+                reach += min(
+                    cost + (far_ms(here, place) if here != place else 0.0)
+                    for here, cost in best[cut].items()
+                )
+            else:
+                reach += toll.start_ms + (FAR_START_MS if place != home else 0.0)
+            factor = KINDS[endpoint.accelerator].step_factor * toll.factor
+            layer_ms = MODEL.step_ms * factor / MODEL.layers + toll.layer_ms
+            for end in range(cut + 1, layers.end + 1):
+                cost = reach + layer_ms * (end - cut)
+                best[end][place] = min(cost, best[end].get(place, cost))
+    return min(best[MODEL.layers].values(), default=float("inf"))
+
+
+class TestLeastCost:
+    @given(st.integers(0, 10_000))
+    def test_no_path_is_cheaper_than_the_one_found(self, seed: int) -> None:
+        """Guards against a search that leaves out the cheapest change of endpoints."""
+        rng = random.Random(seed)
+        found = []
+        for endpoint in rng.sample(endpoints(), 24):
+            first = rng.randrange(0, 75)
+            layers = LayerRange(first, min(80, first + rng.randint(5, 40)))
+            found.append(replace(endpoint, layers=layers))
+        tolls = {}
+        for endpoint in found:
+            tolls[endpoint.id] = Toll(
+                rng.uniform(1, 3),
+                rng.uniform(0, 0.5),
+                rng.uniform(0, 5),
+                rng.uniform(0, 5),
+            )
+        path = find_path(MODEL, found, "x", lambda e: tolls[e.id], far_ms)
+        cost = path.cost_ms if path is not None else float("inf")
+        assert cost == pytest.approx(naive_cost(found, tolls, "x"))
+
+
 class TestStarts:
     def test_each_copy_has_a_spare_holder_of_the_first_layer(self) -> None:
         """Guards against requests that queue for places at their first endpoint."""
--- a/tests/router/test_prober.py
+++ b/tests/router/test_prober.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hemlockhall_router.process.directory import Directory, Held
+from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.prober import Prober
 from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.timing import Timing
@@ -21,7 +21,7 @@
 def directory() -> Directory:
     made = Directory(StandinDialect().endpoint, lambda: 0.0, Timing(BoundsSection()))
     for name in ("p1", "p2", "p3"):
-        made.held[name] = Held(Endpoint(name, "pool", "127.0.0.1", 1, "here"))
+        made.enter(Endpoint(name, "pool", "127.0.0.1", 1, "here"))
     return made
 
 
