Share the allowance of repeats by what hosts receive, and lend what others leave

Requests were refused within 5 ms after one try, under a reason that named full endpoints.

Ways: equal parts (standing); parts by requests received, half of a part kept and the rest a pool from which each host draws its part of what is known to be left, no more within 1.5 s than all may draw before they hear of it. Hosts report requests and repeats with their loads. Hosts that are not heard or have just started count as having spent their whole share.

The refusal has a reason of its own, retry_budget.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -19,9 +19,10 @@
     Place,
     Report,
     Summary,
+    Usage,
 )
 from hemlockhall_router.membership.roster import HUBS, Roster
-from hemlockhall_router.membership.tally import add_up, aged, busiest
+from hemlockhall_router.membership.tally import add_up, add_usage, aged, busiest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,6 +57,7 @@
     down: list[int] = field(default_factory=list)
     shut: list[int] = field(default_factory=list)
     facts: list[Fact] = field(default_factory=list)
+    usage: list[Usage] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -259,6 +261,7 @@
             contacts=[],
             fence=own.fence,
             steady=own.steady,
+            usage=own.usage,
         )
 
     def _digest(self, report: Report, now: float) -> Digest:
@@ -334,16 +337,20 @@
         hosts, staying = 1, 0 if own.leaving else 1
         first = "" if own.leaving else self.own.name
         fence, steady = own.fence, own.steady
+        usage = [*own.usage]
         for heard in self._reports.values():
             report = heard.message
             hosts += 1
             fence = max(fence, report.fence)
             steady = steady or report.steady
+            usage += report.usage
             if report.sender.leaving:
                 continue
             staying += 1
             first = min(first or report.sender.name, report.sender.name)
-        return Place(self.own.place, hosts, staying, first, fence, steady)
+        return Place(
+            self.own.place, hosts, staying, first, fence, steady, add_usage(usage)
+        )
 
     def _foreign(self, now: float) -> list[_Heard[Summary]]:
         """Return one summary for each other data centre.
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -29,6 +29,7 @@
     decode,
     encode,
 )
+from hemlockhall_router.membership.tally import add_usage
 from hemlockhall_router.process.store import (
     ConditionError,
     Row,
@@ -43,7 +44,7 @@
     from anyio.abc import SocketStream, TaskGroup, UDPSocket
 
     from hemlockhall_router.membership.exchange import Own
-    from hemlockhall_router.membership.message import Contact, Fact, Load
+    from hemlockhall_router.membership.message import Contact, Fact, Load, Usage
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.process.watch import Watch
@@ -198,6 +199,12 @@
         """Return the most hosts that may be there, with this one."""
         return self._count.hosts(self._exchange.places(), time.monotonic())
 
+    def usage(self) -> tuple[int, list[Usage]]:
+        """Return how many hosts are heard of, and their use of the retry budget."""
+        places = self._exchange.places()
+        usage = [item for place in places for item in place.usage]
+        return sum(place.hosts for place in places), add_usage(usage)
+
     def sharers(self) -> int:
         """Return the number of hosts that share a pipe between two data centres."""
         return min(self.count(), 2 * self.near())
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -82,12 +82,24 @@
     end: int
 
 
+class Usage(msgspec.Struct, frozen=True, array_like=True):
+    """Requests for a service and repeats in the window of the retry budget.
+
+    ``repeats`` includes what is kept for the hosts concerned, used or not.
+    """
+
+    service: int
+    requests: int
+    repeats: int
+
+
 class Place(msgspec.Struct, frozen=True, array_like=True):
     """The hosts of a data centre together.
 
     ``staying`` counts those that do not leave, and ``first`` is the lowest of
     their names. ``fence`` is the newest planning lease that one of them holds,
-    or 0. ``steady`` tells whether one has had the store all the while.
+    or 0. ``steady`` tells whether one has had the store all the while. ``usage`` is
+    the sum of their use of the retry budget.
     """
 
     name: str
@@ -96,6 +108,7 @@
     first: str
     fence: int
     steady: bool
+    usage: list[Usage] = []
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -122,6 +135,7 @@
 
     fence: int
     steady: bool
+    usage: list[Usage] = []
 
 
 class Digest(Message, frozen=True, array_like=True, kw_only=True, tag="digest"):
@@ -176,6 +190,11 @@
     return zlib.crc32(endpoint_id.encode())
 
 
+def service_key(name: str) -> int:
+    """Return the number that stands for a service in messages."""
+    return zlib.crc32(name.encode())
+
+
 __all__ = [
     "DATAGRAM_BYTES",
     "PROTOCOL",
@@ -189,7 +208,9 @@
     "Place",
     "Report",
     "Summary",
+    "Usage",
     "decode",
     "encode",
     "endpoint_key",
+    "service_key",
 ]
--- a/packages/router/src/hemlockhall_router/membership/tally.py
+++ b/packages/router/src/hemlockhall_router/membership/tally.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from hemlockhall_router.membership.message import Load
+from hemlockhall_router.membership.message import Load, Usage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -47,6 +47,21 @@
     return found
 
 
+def add_usage(usages: Iterable[Usage]) -> list[Usage]:
+    """Return the sum of the use of the retry budget for each service."""
+    sums: dict[int, Usage] = {}
+    for usage in usages:
+        old = sums.get(usage.service)
+        if old is not None:
+            usage = Usage(
+                usage.service,
+                old.requests + usage.requests,
+                old.repeats + usage.repeats,
+            )
+        sums[usage.service] = usage
+    return list(sums.values())
+
+
 def busiest(loads: Iterable[Load]) -> list[Load]:
     """Return the loads that are worth a place in a message."""
     ordered = sorted(loads, key=lambda load: -load.tokens)
@@ -57,6 +72,7 @@
     "LOADS",
     "UNHEARD_MS",
     "add_up",
+    "add_usage",
     "aged",
     "busiest",
 ]
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -111,7 +111,11 @@
         self.lease = Lease(self._store, host.name, self._boot)
         retry = settings.retry
         self.budget = Budget(
-            retry.ratio, retry.constant, retry.window_s, self.hosts.count
+            retry.ratio,
+            retry.constant,
+            retry.window_s,
+            self.hosts.count,
+            self.hosts.usage,
         )
         self._prober = Prober(self._dialect, self.directory, self.hosts.near)
         pipes = Pipes(self.hosts.sharers)
@@ -257,6 +261,7 @@
             down=down,
             shut=self.directory.shut_keys(),
             facts=self.directory.facts(),
+            usage=self.budget.usage(),
         )
 
     def _suspect(self, keys: list[int]) -> None:
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -57,7 +57,7 @@
                 await self._give_up(Refusal.NO_ENDPOINT)
                 return
             if self._sent and not self._tools.budget.allow(work.service.name):
-                await self._give_up(Refusal.ENDPOINTS_FULL)
+                await self._give_up(Refusal.RETRY_BUDGET)
                 return
             try:
                 response = await self._try(held)
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -15,6 +15,7 @@
     NO_ENDPOINT = "no_endpoint"
     NO_PATH = "no_path"
     ENDPOINTS_FULL = "endpoints_full"
+    RETRY_BUDGET = "retry_budget"
     DEADLINE = "deadline"
     UNCERTAIN = "uncertain"
     TIMEOUT = "timeout"
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -60,6 +60,7 @@
         self._last_id: bytes | None = None
         self._ran = False
         self._rejected = False
+        self._unaffordable = False
         self._avoid: set[str] = set()
         self._sent = 0
         self._paid = False
@@ -184,6 +185,7 @@
         """
         while not self._allow():
             if not self._reply.started or self._work.left_s <= 0:
+                self._unaffordable = True
                 return False
             await anyio.sleep(HOLD_POLL_S)
         return True
@@ -314,6 +316,8 @@
             refusal = Refusal.TIMEOUT if late else Refusal.UNCERTAIN
         elif self._ran and not work.route.repeatable:
             refusal = Refusal.TIMEOUT if late else Refusal.UNCERTAIN
+        elif self._unaffordable:
+            refusal = Refusal.RETRY_BUDGET
         elif self._rejected or self._ran:
             refusal = Refusal.ENDPOINTS_FULL
         else:
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -646,3 +646,20 @@
             response = await h.ask("/draft/x", method="POST")
             assert response.body == WHOLE
             assert response.head.header(b"connection") == b"close"
+
+
+class TestRetryBudget:
+    async def test_a_refusal_for_want_of_repeats_names_the_budget(self) -> None:
+        """Guards against refusals that seem to come from full endpoints."""
+
+        async def refuse(arrival: Arrival) -> None:
+            await arrival.refuse(503)
+
+        async with hall(ROUTES) as h:
+            await h.endpoint("p1", refuse, **ALL)
+            router = h.routers[0]
+            router.budget.ratio = router.budget.constant = 0.0
+            answer = await h.ask("/draft/x", method="POST")
+            assert answer.head.status == 503
+            text = router.front._tools.metrics.text().decode()
+            assert 'refusals_total{label="retry_budget"} 1' in text
