--- a/packages/router/src/hemlockhall_router/policy/crowding.py
+++ b/packages/router/src/hemlockhall_router/policy/utilization.py
@@ -8,16 +8,16 @@
     from hemlockhall_router.process.directory import Held
     from hemlockhall_router.version.routing import Model
 
-# Milliseconds a token that a request is charged for each unit of crowding.
-CROWDED_MS = 3.0
-# Filling at which crowding has no bound; fillings beyond are charged by how far
-# they are beyond, so that the least overfull endpoint is the cheapest.
-BRIM = 1.02
-BRIM_MARGIN = 0.02
-OVERFULL = 200.0
+# Milliseconds a token that a request is charged for each unit of ``load_penalty``.
+PENALTY_MS = 3.0
+# Utilization at which the penalty has no bound; beyond it the penalty grows in
+# proportion, so that the least overloaded endpoint is the cheapest.
+SATURATION = 1.02
+SATURATION_MARGIN = 0.02
+OVERLOAD_PENALTY = 200.0
 # Milliseconds a token that a request is charged for each millisecond until its
-# prompt has been read. An answer has some fifty events and the first one has an
-# objective of its own, so a delay at the start counts more than spread over all.
+# prompt has been read. The first event has an objective of its own, so a delay at
+# the start counts more than one spread over all events.
 READING_WEIGHT = 0.1
 
 
@@ -32,7 +32,7 @@
     return max(1.0, free_mb / token_mb) if token_mb else 1.0
 
 
-def filling(held: Held, model: Model, size: int) -> float:
+def utilization(held: Held, model: Model, size: int) -> float:
     """Return the part of an endpoint's memory taken with one more request.
 
     ``size`` is the request's tokens.
@@ -40,15 +40,15 @@
     return (held.token_load + size) / room(held, model)
 
 
-def crowding(part: float) -> float:
-    """Return a convex measure of a filling: 0 when empty, 7 at 0.9.
+def load_penalty(part: float) -> float:
+    """Return a convex measure of a utilization: 0 when empty, 7 at 0.9.
 
     Two endpoints at 0.5 are better than one at 0.2 and one at 0.8: an engine
     whose memory runs out preempts requests in the middle of their streams.
     """
-    if part >= BRIM - BRIM_MARGIN:
-        return OVERFULL * part
-    return part * part / (BRIM - part)
+    if part >= SATURATION - SATURATION_MARGIN:
+        return OVERLOAD_PENALTY * part
+    return part * part / (SATURATION - part)
 
 
 def reading_ms(held: Held, model: Model, size: int, hosts: int) -> float:
@@ -69,10 +69,10 @@
 
 
 __all__ = [
-    "CROWDED_MS",
+    "PENALTY_MS",
     "READING_WEIGHT",
-    "crowding",
-    "filling",
+    "load_penalty",
+    "utilization",
     "reading_ms",
     "room",
 ]
--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -13,7 +13,7 @@
 
 # Part of the allowance that is used. Hosts that start anew have forgotten
 # what they spent, and two hosts' windows do not begin together.
-CAUTION = 0.7
+SAFETY_FACTOR = 0.7
 # The window is counted in this many buckets.
 BUCKETS = 40
 # Part of its share that a host may spend whatever the others spend. The rest is
@@ -123,7 +123,7 @@
         heard, everyone = self._heard(service)
         part = (requests + 1) / (max(requests, everyone.requests) + heard)
         part *= heard / max(heard, self._hosts())
-        return CAUTION * (self.ratio * requests + self.constant * part)
+        return SAFETY_FACTOR * (self.ratio * requests + self.constant * part)
 
     def _left(self, service: str, share: float) -> float:
         """Return this host's part of what all hosts together have left."""
@@ -134,7 +134,7 @@
         spent = max(sum(counts.repeats.values()), self._kept(share))
         spent = max(everyone.repeats, spent)
         part = heard / max(heard, self._hosts())
-        allowance = CAUTION * (self.ratio * requests + self.constant * part)
+        allowance = SAFETY_FACTOR * (self.ratio * requests + self.constant * part)
         if not allowance:
             return 0.0
         return (allowance - spent) * share / allowance
--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -6,15 +6,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from hemlockhall_router.policy.crowding import (
-    CROWDED_MS,
+from hemlockhall_router.policy.pipe import transfer_s
+from hemlockhall_router.policy.utilization import (
+    PENALTY_MS,
     READING_WEIGHT,
-    crowding,
-    filling,
+    load_penalty,
     reading_ms,
+    utilization,
 )
-from hemlockhall_router.policy.pipe import transfer_s
-from hemlockhall_router.version.path import Toll, find_path
+from hemlockhall_router.version.path import EndpointCost, find_path
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,11 +109,11 @@
             self._none_deadlines[service.name] = now + NONE_S
         return path
 
-    def without_path_s(self, service: str) -> float:
+    def seconds_without_path(self, service: str) -> float:
         """Return for how many seconds there has been no path at all."""
         return time.monotonic() - self._seen_at.get(service, self._began)
 
-    def there(self, endpoint: Endpoint) -> bool:
+    def may_run(self, endpoint: Endpoint) -> bool:
         """Return whether this run of an endpoint has not ended, for all we know.
 
         One that does not answer may still run what it was sent: it can be cut
@@ -150,40 +150,46 @@
         # A prompt is read later by the time that its activations take the pipe.
         pipe_ms = FAR_MS + READING_WEIGHT * 1000 * transfer_s(model, size)
         burst_s = self._pipes.burst_s(model, size)
-        tolls = {}
+        costs = {}
         hosts = self._hosts()
         now = time.monotonic()
         endpoints = []
         for held in candidates:
             if held.endpoint.id in tried or not held.usable(now):
                 continue
-            tolls[held.endpoint.id] = _toll(held, model, service.slots, size, hosts)
+            costs[held.endpoint.id] = _endpoint_cost(
+                held, model, service.slots, size, hosts
+            )
             endpoints.append(held.endpoint)
         return find_path(
             model,
             endpoints,
             self._home,
-            lambda endpoint: tolls[endpoint.id],
+            lambda endpoint: costs[endpoint.id],
             lambda here, there: pipe_ms + self._waiting_ms(here, there, burst_s),
             starts_at,
         )
 
     def _waiting_ms(self, here: str, there: str, burst_s: float) -> float:
         backlog_s = self._pipes.backlog_s(here, there) + burst_s
-        return CROWDED_MS * crowding(backlog_s / BACKLOG_S)
+        return PENALTY_MS * load_penalty(backlog_s / BACKLOG_S)
 
 
-def _toll(held: Held, model: Model, slots: int, size: int, hosts: int) -> Toll:
+def _endpoint_cost(
+    held: Held, model: Model, slots: int, size: int, hosts: int
+) -> EndpointCost:
     """Return what one more request at an endpoint costs."""
     factor = held.pace * random.uniform(1 - SPREAD, 1 + SPREAD)  # noqa: S311
     if held.doubtful:
         factor *= DOUBT_FACTOR
-    crowded_ms = CROWDED_MS * crowding(filling(held, model, size))
+    memory_ms = PENALTY_MS * load_penalty(utilization(held, model, size))
     start_ms = 0.0
     if slots:
-        start_ms = CROWDED_MS * crowding((held.load + 1) / slots)
+        start_ms = PENALTY_MS * load_penalty((held.load + 1) / slots)
     layer_ms = READING_WEIGHT * reading_ms(held, model, size, hosts)
-    return Toll(factor, layer_ms * factor, crowded_ms * factor, start_ms * factor)
+    return EndpointCost(
+        factor, layer_ms * factor, memory_ms * factor, start_ms * factor
+    )
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -140,13 +140,13 @@
         at_once = not whole(model, members, serving, division)
         settled = self._settled.setdefault(service, set())
         orders = plan(model, members, held, serving, fixed, division, settled)
-        if not orders and not fixed:
-            calm_deadline = now + CALM_INTERVAL_S
-            self._calm[service] = (self._directory.version, calm_deadline)
-        refused: frozenset[str] = frozenset()
-        if orders:
-            wanted = {**held, **orders}
-            refused = self._refused(service, model, members, wanted, division)
+        if not orders:
+            if not fixed:
+                calm_deadline = now + CALM_INTERVAL_S
+                self._calm[service] = (self._directory.version, calm_deadline)
+            return
+        wanted = {**held, **orders}
+        refused = self._refused(service, model, members, wanted, division)
         most = ORDERS_AT_ONCE * max(1, model.loads_at_once)
         if not at_once:
             most = int(most * CALM_PART)
@@ -156,11 +156,9 @@
             if len(self._pending) >= most:
                 break
             endpoint = by_id[key]
-            share = layers.size / model.layers
             together = min(most, len(members)) / max(1, model.loads_at_once)
-            load_s = model.load_s * share * together
-            deadline = now + load_s + LOAD_ALLOWANCE_S
-            order = Pending(layers, deadline, at_once)
+            load_s = model.load_s * layers.size / model.layers * together
+            order = Pending(layers, now + load_s + LOAD_ALLOWANCE_S, at_once)
             self._pending[endpoint.incarnation] = order
             group.start_soon(self._order, endpoint, order)
 
@@ -230,7 +228,7 @@
             report = await self._prober.report(endpoint)
         except (WireError, DecodeError) as exc:
             self._end(endpoint, order, f"no report: {exc}")
-            self._prober.doubt([endpoint.id])
+            self._prober.check([endpoint.id])
             return True
         if report.layers == order.layers:
             self._directory.reported(endpoint.id, report)
@@ -268,7 +266,7 @@
             try:
                 report = await self._prober.report(endpoint)
             except (WireError, DecodeError):
-                self._prober.doubt([endpoint.id])
+                self._prober.check([endpoint.id])
                 return
             if not report.busy:
                 self._directory.reported(endpoint.id, report)
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -77,7 +77,7 @@
         self._looked_at = time.monotonic()
         self._awake_at = 0.0
 
-    def doubt(self, ids: list[str]) -> None:
+    def check(self, ids: list[str]) -> None:
         """Ask these endpoints soon, unless they were asked just now."""
         now = time.monotonic()
         again_s = AGAIN_S * max(1.0, self._hosts() / HOSTS)
@@ -121,7 +121,7 @@
             unheard = self._unheard(running, now)
             if unheard:
                 running.doubted = True
-                self.doubt(unheard)
+                self.check(unheard)
 
     def _unheard(self, running: Running, now: float) -> list[str]:
         """Return the endpoints of a silent stream through which no other is heard.
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -270,7 +270,7 @@
         for held in self.directory.held.values():
             if held.key in suspects and not held.down:
                 known.append(held.endpoint.id)
-        self._prober.doubt(known)
+        self._prober.check(known)
 
     async def _upkeep(self) -> None:
         while True:
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -103,7 +103,7 @@
                     raise
                 # It may be dead or slow. Whoever can go on without it is asked
                 # first: a slow one has the next event ready soon.
-                self._tools.prober.doubt(self.ids)
+                self._tools.prober.check(self.ids)
                 self._patience.grow()
                 raise MovedError(str(exc), served=True, reason=Retry.SILENT) from exc
         if data is not None:
@@ -169,7 +169,7 @@
         try:
             yield
         except WireError as exc:
-            self._tools.prober.doubt(self.ids)
+            self._tools.prober.check(self.ids)
             self._patience.grow()
             silent = isinstance(exc, SilentError)
             raise TryFailedError(
@@ -207,7 +207,7 @@
                 self._tools.directory.refused(key)
             else:
                 self._tools.directory.failed(key, f"status {head.status}")
-            self._tools.prober.doubt([key])
+            self._tools.prober.check([key])
             return key
         return self.path.first.id
 
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -75,7 +75,11 @@
                     break
                 await anyio.sleep(MORE_TRIES_S)
             path = await self._path()
-            if path is None or self._work.left_s <= 0 or self._crowded_out():
+            if (
+                path is None
+                or self._work.left_s <= 0
+                or self._waited_too_long_for_room()
+            ):
                 break
             if self._sent and not self._paid and not await self._afford():
                 break
@@ -255,9 +259,12 @@
         """
         if self._reply.started:
             return False
-        return self._tools.chooser.without_path_s(self._work.service.name) > RESTORE_S
+        return (
+            self._tools.chooser.seconds_without_path(self._work.service.name)
+            > RESTORE_S
+        )
 
-    def _crowded_out(self) -> bool:
+    def _waited_too_long_for_room(self) -> bool:
         """Return whether a refused request has waited long enough for room."""
         if self._reply.started or not self._rejected:
             return False
@@ -272,7 +279,7 @@
         """
         there = []
         for key, endpoint in self._ran_at.items():
-            if self._tools.chooser.there(endpoint):
+            if self._tools.chooser.may_run(endpoint):
                 there.append(key)
         if len(there) < self._work.route.max_endpoints:
             return None
--- a/packages/router/src/hemlockhall_router/version/path.py
+++ b/packages/router/src/hemlockhall_router/version/path.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Toll:
+class EndpointCost:
     """What using an endpoint costs beside its usual time.
 
     ``factor`` is on its time for a token, at least 1; ``layer_ms`` is added for
@@ -75,7 +75,7 @@
     model: Model,
     endpoints: Iterable[Endpoint],
     home: str,
-    toll: Callable[[Endpoint], Toll],
+    cost_of: Callable[[Endpoint], EndpointCost],
     far_ms: Callable[[str, str], float],
     starts_at: frozenset[str] | None = None,
 ) -> Path | None:
@@ -89,15 +89,15 @@
         Usable endpoints; those that hold no layers are left out.
     home : str
         Where the path starts; a start elsewhere costs a little more.
-    toll : callable
-        Returns an endpoint's ``Toll``; more for loaded ones.
+    cost_of : callable
+        Returns an endpoint's ``EndpointCost``; more for loaded ones.
     far_ms : callable
         Returns the milliseconds that a hop from one data centre to another
         costs more than one inside it, for each token.
     starts_at : frozenset of str, optional
         Ids of the endpoints that may be the first; all if not given.
     """
-    stops = _stops(model, endpoints, toll, starts_at)
+    stops = _stops(model, endpoints, cost_of, starts_at)
     # The cheapest step that ends at a cut, for each data centre it ends in.
     best: dict[int, dict[str, _Step]] = {cut: {} for cut in stops.order}
     for cut in stops.order[:-1]:
@@ -109,9 +109,9 @@
             if place not in entries:
                 entries[place] = _cheapest(best[cut], place, home, far_ms)
             before, reach = entries[place]
-            reach += stage.toll.pass_ms
+            reach += stage.cost.pass_ms
             if cut == 0:
-                reach += stage.toll.start_ms
+                reach += stage.cost.start_ms
             for end in stage.exits:
                 if end <= cut:
                     continue
@@ -130,7 +130,7 @@
     """An endpoint that may be part of a path; it may be left at ``exits``."""
 
     endpoint: Endpoint
-    toll: Toll
+    cost: EndpointCost
     layer_ms: float
     exits: list[int]
 
@@ -146,7 +146,7 @@
 def _stops(
     model: Model,
     endpoints: Iterable[Endpoint],
-    toll: Callable[[Endpoint], Toll],
+    cost_of: Callable[[Endpoint], EndpointCost],
     starts_at: frozenset[str] | None,
 ) -> _Stops:
     """Return where a path may change endpoints.
@@ -162,7 +162,7 @@
             continue
         firsts.add(max(0, layers.first))
         ends.add(min(model.layers, layers.end))
-        stages.append(_stage(model, endpoint, toll(endpoint)))
+        stages.append(_stage(model, endpoint, cost_of(endpoint)))
     order = sorted(firsts | ends)
     left_at = sorted(firsts)
     entered_at = sorted(ends)
@@ -182,11 +182,11 @@
     return _Stops(order, entered)
 
 
-def _stage(model: Model, endpoint: Endpoint, toll: Toll) -> _Stage:
+def _stage(model: Model, endpoint: Endpoint, cost: EndpointCost) -> _Stage:
     accelerator = model.accelerators.get(endpoint.accelerator)
     pace = accelerator.step_factor if accelerator else 1.0
-    layer_ms = model.step_ms * pace * toll.factor / model.layers + toll.layer_ms
-    return _Stage(endpoint, toll, layer_ms, [])
+    layer_ms = model.step_ms * pace * cost.factor / model.layers + cost.layer_ms
+    return _Stage(endpoint, cost, layer_ms, [])
 
 
 def _cheapest(
@@ -251,6 +251,6 @@
     "MAX_PARTS",
     "Part",
     "Path",
-    "Toll",
+    "EndpointCost",
     "find_path",
 ]
--- a/tests/router/test_budget.py
+++ b/tests/router/test_budget.py
@@ -9,7 +9,7 @@
 
 from hemlockhall_router.membership.message import Usage
 from hemlockhall_router.membership.tally import add_usage
-from hemlockhall_router.process.budget import CAUTION, LAG_S, Budget
+from hemlockhall_router.process.budget import LAG_S, SAFETY_FACTOR, Budget
 
 RATIO = 0.2
 CONSTANT = 248.0
@@ -84,7 +84,7 @@
                 requests += 1
             while budget.allow("pool"):
                 allowed += 1
-        assert 0 < allowed <= CAUTION * (0.2 * requests + 100.0)
+        assert 0 < allowed <= SAFETY_FACTOR * (0.2 * requests + 100.0)
 
     def test_services_are_counted_apart(self) -> None:
         budget = Budget(0.0, 10.0, 10.0, lambda: 1, lambda: (1, []))
@@ -103,7 +103,7 @@
         fleet = Fleet()
         warm(fleet)
         requests = HOSTS * round(WINDOW_S / STEP_S)
-        equal = CAUTION * (RATIO * requests + CONSTANT) / HOSTS
+        equal = SAFETY_FACTOR * (RATIO * requests + CONSTANT) / HOSTS
         allowed = 0
         for _ in range(round(4.0 / STEP_S)):
             fleet.requests(0, 1)
--- a/tests/router/test_layout.py
+++ b/tests/router/test_layout.py
@@ -13,7 +13,12 @@
 from hemlockhall_router.version.endpoint import Endpoint, LayerRange
 from hemlockhall_router.version.layout import plan
 from hemlockhall_router.version.member import FILL, Member
-from hemlockhall_router.version.path import FAR_START_MS, HOP_MS, Toll, find_path
+from hemlockhall_router.version.path import (
+    FAR_START_MS,
+    HOP_MS,
+    EndpointCost,
+    find_path,
+)
 from hemlockhall_router.version.routing import Accelerator, Model
 
 KINDS = {
@@ -364,7 +369,7 @@
                     layers=layers,
                 )
             )
-        path = find_path(MODEL, found, "x", lambda endpoint: Toll(), far_ms)
+        path = find_path(MODEL, found, "x", lambda endpoint: EndpointCost(), far_ms)
         covered = {n for e in found for n in range(e.layers.first, e.layers.end)}
         if len(covered) < 80:
             assert path is None
@@ -390,34 +395,38 @@
         settle(found, held)
         holders = [replace(e, layers=held[e.id]) for e in found]
         for place in kinds:
-            path = find_path(MODEL, holders, place, lambda endpoint: Toll(), far_ms)
+            path = find_path(
+                MODEL, holders, place, lambda endpoint: EndpointCost(), far_ms
+            )
             places = {part.endpoint.data_centre for part in path.parts}
             assert len(places) == 1
             if kinds is not PLACES:
                 assert places == {place}
 
 
-def naive_cost(found: list[Endpoint], tolls: dict[str, Toll], home: str) -> float:
+def naive_cost(
+    found: list[Endpoint], costs: dict[str, EndpointCost], home: str
+) -> float:
     """Return the least cost of all paths, with a change at every layer."""
     best: list[dict[str, float]] = [{} for _ in range(MODEL.layers + 1)]
     for cut in range(MODEL.layers):
         if cut and not best[cut]:
             continue
         for endpoint in found:
-            layers, toll = endpoint.layers, tolls[endpoint.id]
+            layers, cost_of = endpoint.layers, costs[endpoint.id]
             if layers is None or not layers.first <= cut < layers.end:
                 continue
             place = endpoint.data_centre
-            reach = HOP_MS + toll.pass_ms
+            reach = HOP_MS + cost_of.pass_ms
             if cut:
                 reach += min(
                     cost + (far_ms(here, place) if here != place else 0.0)
                     for here, cost in best[cut].items()
                 )
             else:
-                reach += toll.start_ms + (FAR_START_MS if place != home else 0.0)
-            factor = KINDS[endpoint.accelerator].step_factor * toll.factor
-            layer_ms = MODEL.step_ms * factor / MODEL.layers + toll.layer_ms
+                reach += cost_of.start_ms + (FAR_START_MS if place != home else 0.0)
+            factor = KINDS[endpoint.accelerator].step_factor * cost_of.factor
+            layer_ms = MODEL.step_ms * factor / MODEL.layers + cost_of.layer_ms
             for end in range(cut + 1, layers.end + 1):
                 cost = reach + layer_ms * (end - cut)
                 best[end][place] = min(cost, best[end].get(place, cost))
@@ -434,17 +443,17 @@
             first = rng.randrange(0, 75)
             layers = LayerRange(first, min(80, first + rng.randint(5, 40)))
             found.append(replace(endpoint, layers=layers))
-        tolls = {}
+        costs = {}
         for endpoint in found:
-            tolls[endpoint.id] = Toll(
+            costs[endpoint.id] = EndpointCost(
                 rng.uniform(1, 3),
                 rng.uniform(0, 0.5),
                 rng.uniform(0, 5),
                 rng.uniform(0, 5),
             )
-        path = find_path(MODEL, found, "x", lambda e: tolls[e.id], far_ms)
+        path = find_path(MODEL, found, "x", lambda e: costs[e.id], far_ms)
         cost = path.cost_ms if path is not None else float("inf")
-        assert cost == pytest.approx(naive_cost(found, tolls, "x"))
+        assert cost == pytest.approx(naive_cost(found, costs, "x"))
 
 
 class TestStarts:
