Count an endpoint that left without a word as one that a stream runs at

Cause: a stream that breaks off goes to another endpoint only while fewer than its route allows may still run it.

An endpoint that was down when its entry went, or whose address has a newer run, has ended.

--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -21,7 +21,6 @@
 
     from hemlockhall_router.policy.pipe import Pipes
     from hemlockhall_router.process.directory import Directory, Held
-    from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
     from hemlockhall_router.version.routing import Model, Service
 
@@ -113,15 +112,6 @@
         """Return for how many seconds there has been no path at all."""
         return time.monotonic() - self._seen_at.get(service, self._began)
 
-    def may_run(self, endpoint: Endpoint) -> bool:
-        """Return whether this run of an endpoint has not ended, for all we know.
-
-        One that does not answer may still run what it was sent: it can be cut
-        off, or slow to say how it is.
-        """
-        held = self._directory.held.get(endpoint.id)
-        return held is not None and held.endpoint.incarnation == endpoint.incarnation
-
     def _find(
         self,
         service: Service,
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -50,6 +50,8 @@
 # found it and by those that heard of it: as long as that host says so.
 SHUT_S = 2.0
 SHUT_HEARD_S = 1.0
+# Seconds for which a run whose entry is gone may go on: as long as any stream lasts.
+LEFT_S = 30.0
 NO_LOAD = Load(0, 0, 0, 0, UNHEARD_MS)
 # Latency assumed of an endpoint that has not answered yet, in seconds.
 UNKNOWN_S = 0.1
@@ -171,6 +173,7 @@
         self.catalog = Catalog(self)
         self._departed: list[Held] = []
         self._addresses = Addresses()
+        self._left: dict[tuple[str, int], float] = {}
 
     def take(self, rows: list[Row]) -> None:
         """Act on changed rows of the endpoint table."""
@@ -301,9 +304,11 @@
         held = self.held.pop(key)
         self._addresses.leave(held)
         self.generation += 1
+        if not held.down and not held.replaced:
+            # Some endpoints leave without a word, and serve on without an entry.
+            deadline = time.monotonic() + LEFT_S
+            self._left[held.endpoint.incarnation] = deadline
         if held.running:
-            # Some endpoints leave without a word and serve on as long as the
-            # others do.
             held.leave_deadline = (
                 held.leave_deadline or time.monotonic() + self._timing.move_s
             )
@@ -326,6 +331,20 @@
                 held.leave_deadline = now + self._timing.move_again_s
                 self._move_some(held, "endpoint leaves", now)
         self._departed = [held for held in self._departed if held.running]
+        for incarnation in list(self._left):
+            if now >= self._left[incarnation]:
+                del self._left[incarnation]
+
+    def may_run(self, endpoint: Endpoint) -> bool:
+        """Return whether this run of an endpoint has not ended, for all we know.
+
+        One that does not answer may still run what it was sent: it can be cut
+        off, or slow to say how it is.
+        """
+        held = self.held.get(endpoint.id)
+        if held is not None and held.endpoint.incarnation == endpoint.incarnation:
+            return not held.replaced
+        return endpoint.incarnation in self._left
 
     def _bump(self) -> None:
         self.version += 1
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -279,7 +279,7 @@
         """
         there = []
         for key, endpoint in self._ran_at.items():
-            if self._tools.chooser.may_run(endpoint):
+            if self._tools.directory.may_run(endpoint):
                 there.append(key)
         if len(there) < self._work.route.max_endpoints:
             return None
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -218,3 +218,39 @@
         directory.take([Row("p1", value, 4)])
         directory.set_down("p1", down=False)
         assert directory.usable("pool") == [directory.held["p1"]]
+
+
+class TestMayRun:
+    def test_an_endpoint_that_is_known_may_run(self, directory: Directory) -> None:
+        endpoint = directory.held["p1"].endpoint
+        assert directory.may_run(endpoint)
+        directory.set_down("p1", down=True)
+        assert directory.may_run(endpoint)
+
+    def test_an_endpoint_that_left_without_a_word_may_run(
+        self, directory: Directory
+    ) -> None:
+        """Guards against more runs than a route allows while a removed one serves."""
+        endpoint = directory.held["p1"].endpoint
+        directory.take([Row("p1", b"", 2, True)])
+        assert directory.may_run(endpoint)
+
+    def test_an_endpoint_that_was_down_when_its_entry_went_has_ended(
+        self, directory: Directory
+    ) -> None:
+        """Guards against streams that are held to an endpoint that crashed."""
+        endpoint = directory.held["p1"].endpoint
+        directory.set_down("p1", down=True)
+        directory.take([Row("p1", b"", 2, True)])
+        assert not directory.may_run(endpoint)
+
+    def test_a_run_whose_address_has_a_newer_one_has_ended(
+        self, directory: Directory
+    ) -> None:
+        """Guards against streams that are held to a run that was replaced."""
+        endpoint = directory.held["p1"].endpoint
+        value = msgspec.json.encode(EndpointRow("pool", 1, born=7))
+        directory.take([Row("p2", value, 2)])
+        assert not directory.may_run(endpoint)
+        directory.take([Row("p1", b"", 3, True)])
+        assert not directory.may_run(endpoint)
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -10,6 +10,7 @@
 import pytest
 
 from hemlockhall_router.connection.error import BrokenError
+from hemlockhall_router.process.store import Table
 from hemlockhall_router.request.stream import RESTORE_S
 from hemlockhall_standins.router.dialect import RouteRow
 from hemlockhall_standins.router.endpoint import (
@@ -256,6 +257,47 @@
             assert bodies == [WHOLE]
             assert sum(1 for endpoint in pool if endpoint.arrivals) == 2
 
+    async def test_an_endpoint_whose_entry_is_gone_counts_as_used(self) -> None:
+        """Guards against a third run while the first endpoint leaves without a word."""
+        may_end = anyio.Event()
+
+        async def serve(arrival: Arrival) -> None:
+            await arrival.begin()
+            await arrival.event(first_event(arrival))
+            await may_end.wait()
+            await arrival.reset()
+
+        async def cut(arrival: Arrival) -> None:
+            if len(arrival.endpoint.arrivals) > 1:
+                await write(arrival)
+                return
+            await arrival.begin()
+            await arrival.event(first_event(arrival))
+            may_end.set()
+            await anyio.sleep(0.02)
+            await arrival.reset()
+
+        routes = [RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=60.0)]
+        fixed = {**ALL, "accelerator": "unplanned"}
+        async with hall(routes) as h:
+            directory = h.routers[0].directory
+            pool = [await h.endpoint("p0", serve, **fixed)]
+            bodies: list[bytes] = []
+
+            async def ask() -> None:
+                bodies.append((await h.ask("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                held = directory.held["p0"]
+                await h.until(lambda: any(run.began for run in held.running))
+                pool.append(await h.endpoint("p1", cut, **fixed))
+                pool.append(await h.endpoint("p2", cut, **fixed))
+                h.store.remove(Table.ENDPOINTS, "p0")
+                await h.until(lambda: "p0" not in directory.held)
+            assert bodies == [WHOLE]
+            assert sum(1 for endpoint in pool if endpoint.arrivals) == 2
+
     async def test_a_stream_that_may_only_go_back_survives_one_refusal(self) -> None:
         """The route allows one endpoint. It breaks the stream off after two
         events, refuses the first resumption for want of room, and has room a
