Order a planned layout whole, and let orders wait for their turn

Cause: orders beyond the bound were dropped and planned anew 0.2 s later. A copy of which half was ordered looked broken then, and its layers were shared out among all its endpoints, one or two each: no path was short enough.

Change: all orders of a plan count as given; each waits for one of the turns. Those that wait are dropped when another host plans.

--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -44,8 +44,6 @@
 ORDERS_AT_ONCE = 8
 # Orders under way at once at most: each takes connections of this host.
 ORDERS_MAX = 128
-# Part of these that may be spent on what no copy is broken for.
-CALM_PART = 0.5
 # Seconds an order may take to be accepted.
 ORDER_S = 0.3
 # Times that an order without an answer is given.
@@ -64,13 +62,13 @@
 class Pending:
     """An order that the endpoint does not show yet.
 
-    ``at_once`` tells that it gives layers up without waiting for the streams on
-    them. ``follows`` is the number of orders that the endpoint had begun when this
-    one was ``sent``.
+    ``deadline`` has no bound until its turn comes. ``at_once`` tells that it gives
+    layers up without waiting for the streams on them. ``follows`` is the number of
+    orders that the endpoint had begun when this one was ``sent``.
     """
 
     layers: LayerRange
-    deadline: float
+    deadline: float = float("inf")
     at_once: bool = False
     sent: bool = False
     follows: int = 0
@@ -99,6 +97,7 @@
         self._routing = routing
         self._timing = timing
         self._pending: dict[tuple[str, int], Pending] = {}
+        self._turns = anyio.CapacityLimiter(ORDERS_MAX)
         self._known: dict[str, set[tuple[str, int]]] = {}
         self._settle_deadlines: dict[str, float] = {}
         self._rest: dict[str, float] = {}
@@ -111,6 +110,7 @@
             while True:
                 await anyio.sleep(INTERVAL_S)
                 if not await self._leadership.holds():
+                    self._drop_waiting()
                     continue
                 routing = self._routing()
                 if routing is None:
@@ -149,20 +149,15 @@
             return
         wanted = {**held, **orders}
         refused = self._refused(service, model, members, wanted, division)
-        most = min(ORDERS_MAX, ORDERS_AT_ONCE * max(1, model.loads_at_once))
-        if not at_once:
-            most = int(most * CALM_PART)
         for key, layers in orders.items():
             if key in fixed or key in refused:
                 continue
-            if len(self._pending) >= most:
-                break
+            # The whole plan counts as ordered at once: planned anew for the rest, a
+            # copy that is ordered in part would look broken.
+            order = Pending(layers, at_once=at_once)
             endpoint = by_id[key]
-            together = min(most, len(members)) / max(1, model.loads_at_once)
-            load_s = model.load_s * layers.size / model.layers * together
-            order = Pending(layers, now + load_s + LOAD_ALLOWANCE_S, at_once)
             self._pending[endpoint.incarnation] = order
-            group.start_soon(self._order, endpoint, order)
+            group.start_soon(self._order, endpoint, order, model)
 
     def _refused(
         self,
@@ -185,6 +180,12 @@
             )
         return refused
 
+    def _drop_waiting(self) -> None:
+        """Forget the orders whose turn has not come: another host plans now."""
+        for incarnation, order in list(self._pending.items()):
+            if order.deadline == float("inf"):
+                del self._pending[incarnation]
+
     def _settle(self, service: str, members: list[Endpoint], now: float) -> None:
         present = {endpoint.incarnation for endpoint in members}
         known = self._known.get(service, set())
@@ -212,17 +213,25 @@
             return True
         return now < self._rest.get(endpoint.id, 0.0)
 
-    async def _order(self, endpoint: Endpoint, order: Pending) -> None:
-        """Give an order, and watch until it is carried out.
+    async def _order(self, endpoint: Endpoint, order: Pending, model: Model) -> None:
+        """Give an order when its turn comes, and watch until it is carried out.
 
         One without an answer is given again: it may be lost, or carried out
         seconds later. Both name the same number of orders before them, so the
         endpoint begins one of them and refuses the other.
         """
-        for _ in range(ORDER_TRIES):
-            if await self._place(endpoint, order):
+        most = min(ORDERS_MAX, ORDERS_AT_ONCE * max(1, model.loads_at_once))
+        self._turns.total_tokens = most
+        async with self._turns:
+            if self._pending.get(endpoint.incarnation) is not order:
                 return
-        order.deadline = time.monotonic() + UNCERTAIN_S
+            together = most / max(1, model.loads_at_once)
+            load_s = model.load_s * order.layers.size / model.layers * together
+            order.deadline = time.monotonic() + load_s + LOAD_ALLOWANCE_S
+            for _ in range(ORDER_TRIES):
+                if await self._place(endpoint, order):
+                    return
+            order.deadline = time.monotonic() + UNCERTAIN_S
 
     async def _place(self, endpoint: Endpoint, order: Pending) -> bool:
         """Give an order once; return whether its outcome is known."""
--- a/tests/router/test_planner.py
+++ b/tests/router/test_planner.py
@@ -153,8 +153,17 @@
         most = 0
         async with hall(ROUTES) as h:
             pool = [await h.endpoint(f"p{n}", unused, **EMPTY) for n in range(6)]
-            pending = h.routers[0]._planner._pending
+            turns = h.routers[0]._planner._turns
             while any(endpoint.state.layers is None for endpoint in pool):
                 await anyio.sleep(0.01)
-                most = max(most, len(pending))
+                most = max(most, int(turns.borrowed_tokens))
         assert 0 < most <= 2
+
+    async def test_a_layout_that_is_ordered_in_parts_stays_as_planned(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against copies that are planned anew while half of them is ordered."""
+        monkeypatch.setattr(planner, "ORDERS_MAX", 1)
+        async with hall(ROUTES) as h:
+            pool = await laid_out(h, 8)
+            assert [len(endpoint.orders) for endpoint in pool] == [1] * 8
