--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 JOBS ?= 3
 STAMP := .venv/.ready
 
-.PHONY: setup demo demo-stay test lint format bench-recovery bench-throughput bench-control bench-batching bench-overhead
+.PHONY: setup demo demo-stay test lint format bench-recovery bench-throughput bench-control bench-batching bench-overhead sweep
 
 setup: $(STAMP)
 
@@ -46,3 +46,7 @@
 
 bench-overhead: setup
 	$(BIN)/python -m hemlockhall_standins.bench.overhead
+
+# FLEETBENCH is the users' bench, SITES one site file of each kind of deployment.
+sweep: setup
+	$(BIN)/python -m hemlockhall_standins.bench.sweep $(FLEETBENCH) $(SITES)
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -42,6 +42,8 @@
 # Orders under way at once, as a multiple of the loads that the weight store serves
 # at full speed: the rest would wait there, and hold up those that come first.
 ORDERS_AT_ONCE = 8
+# Orders under way at once at most: each takes connections of this host.
+ORDERS_MAX = 128
 # Part of these that may be spent on what no copy is broken for.
 CALM_PART = 0.5
 # Seconds an order may take to be accepted.
@@ -147,7 +149,7 @@
             return
         wanted = {**held, **orders}
         refused = self._refused(service, model, members, wanted, division)
-        most = ORDERS_AT_ONCE * max(1, model.loads_at_once)
+        most = min(ORDERS_MAX, ORDERS_AT_ONCE * max(1, model.loads_at_once))
         if not at_once:
             most = int(most * CALM_PART)
         for key, layers in orders.items():
--- a/tests/router/test_planner.py
+++ b/tests/router/test_planner.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import anyio
 import pytest
 
+from hemlockhall_router.process import planner
 from hemlockhall_router.version.coverage import Coverage
 from hemlockhall_router.version.endpoint import Endpoint, LayerRange
 from hemlockhall_router.version.member import Member
@@ -140,3 +142,19 @@
             lost.stop()
             h.enter(lost, "pool", draining=True, accelerator="small")
             await h.until(lambda: not missing(pool))
+
+
+class TestManyEndpoints:
+    async def test_orders_under_way_are_bounded(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a planner that calls all endpoints of a fleet at once."""
+        monkeypatch.setattr(planner, "ORDERS_MAX", 2)
+        most = 0
+        async with hall(ROUTES) as h:
+            pool = [await h.endpoint(f"p{n}", unused, **EMPTY) for n in range(6)]
+            pending = h.routers[0]._planner._pending
+            while any(endpoint.state.layers is None for endpoint in pool):
+                await anyio.sleep(0.01)
+                most = max(most, len(pending))
+        assert 0 < most <= 2
