--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -70,9 +70,6 @@
 READ_HOSTS_INTERVAL_S = 4.0
 # Interval of attempts to write this host's row to the hosts table.
 REGISTER_RETRY_S = 1.0
-# Upper bound of the age of a table version, in seconds, also sent if the table was
-# never known to be complete.
-MAX_AGE_S = 3600.0
 # Interval of log lines about dropped messages.
 DROP_LOG_INTERVAL_S = 1.0
 
@@ -385,9 +382,9 @@
         )
         # Whether it has all rows of the table, and not only the changed ones.
         if delta.whole:
-            watch.replace(rows, delta.version)
+            watch.replace(rows, delta.version, address)
         else:
-            watch.apply(rows, delta.version)
+            watch.apply(rows, delta.version, address)
 
     async def _serve_fetch(self, stream: SocketStream) -> None:
         """Answer one request for the rows of a table."""
@@ -464,8 +461,7 @@
 
 def table_version_of(watch: Watch) -> TableVersion:
     """Return the version of a cached table, as sent in messages."""
-    age_s = time.monotonic() - watch.complete_as_of
-    age_ms = int(min(age_s, MAX_AGE_S) * 1000)
+    age_ms = int(watch.age_s * 1000)
     return TableVersion(watch.table.value, watch.last_change, watch.version, age_ms)
 
 
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -59,13 +59,19 @@
         Components that a relay uses.
     routing : callable
         Returns the configuration in force, or None before the first one.
+    routing_age_s : callable
+        Returns the time since it was last known to be the newest one.
     """
 
     def __init__(
-        self, context: RelayContext, routing: Callable[[], RoutingConfig | None]
+        self,
+        context: RelayContext,
+        routing: Callable[[], RoutingConfig | None],
+        routing_age_s: Callable[[], float],
     ) -> None:
         self._context = context
         self._routing = routing
+        self._routing_age_s = routing_age_s
         self._idle: set[anyio.CancelScope] = set()
         self._accept_until = self._exit_at = float("inf")
         self.open_requests = 0
@@ -185,6 +191,7 @@
                 request=self._request_id(head).decode("latin-1"),
                 reason=exc.refusal.value,
                 version=self._config_version(),
+                age_ms=int(self._routing_age_s() * 1000),
             )
             retry_after_s = None
             if exc.status == 503:
--- a/packages/router/src/hemlockhall_router/process/metric.py
+++ b/packages/router/src/hemlockhall_router/process/metric.py
@@ -12,6 +12,7 @@
 from hemlockhall_router.request.reason import RefusalReason, RetryReason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from enum import Enum
 
 # Percentiles rendered in each summary.
@@ -19,7 +20,7 @@
 
 
 class Metrics:
-    """All counters; those of known reasons start at 0."""
+    """All counters and gauges; counters of known reasons start at 0."""
 
     def __init__(self) -> None:
         self._counters: dict[str, dict[str, int]] = {
@@ -29,6 +30,7 @@
             "orders": {},
             "log_lines_left_out": {"all": 0},
         }
+        self._gauges: dict[str, dict[str, Callable[[], float]]] = {}
         self.first_event = Latency(
             "hemlockhall_first_event_seconds", "From sending to the first event"
         )
@@ -56,6 +58,10 @@
         labels = self._counters.setdefault(name, {})
         labels[label] = labels.get(label, 0) + 1
 
+    def add_gauge(self, name: str, label: str, read: Callable[[], float]) -> None:
+        """Add a gauge, which is read when the metrics are rendered."""
+        self._gauges.setdefault(name, {})[label] = read
+
     def _increment(self, name: str, reason: Enum) -> None:
         self.count(name, reason.value)
 
@@ -66,6 +72,10 @@
             lines.append(f"# TYPE hemlockhall_{name} counter")
             for label, count in labels.items():
                 lines.append(f'hemlockhall_{name}_total{{label="{label}"}} {count}')
+        for name, reads in self._gauges.items():
+            lines.append(f"# TYPE hemlockhall_{name} gauge")
+            for label, read in reads.items():
+                lines.append(f'hemlockhall_{name}{{label="{label}"}} {read():.3f}')
         for latency in (self.first_event, self.longest_pause, self.response_time):
             lines += _render_summary(latency)
         return "\n".join(lines).encode() + b"\n"
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -144,7 +144,9 @@
             self._prober,
             data_centre_links,
         )
-        self.frontend = Frontend(context, lambda: self.routing)
+        self.frontend = Frontend(
+            context, lambda: self.routing, lambda: self._routing_watch.age_s
+        )
         self.leadership = Leadership(self.lease, self.membership)
         self._planner = Planner(
             self._dialect,
@@ -245,7 +247,14 @@
                 )
                 continue
             self.routing = routing
-            logger.info("configuration in force", version=routing.version)
+            watch = self._routing_watch
+            logger.info(
+                "configuration in force",
+                version=routing.version,
+                row_version=row.version,
+                source=watch.source,
+                delay_ms=int(watch.delay_s * 1000),
+            )
 
     def _endpoints_changed(self, rows: list[Row]) -> None:
         self.directory.apply_rows(rows)
@@ -257,7 +266,14 @@
             changed(rows)
             self.membership.push()
 
-        watch = Watch(self._store, table, on_change, self.membership, self._timing)
+        watch = Watch(
+            self._store,
+            table,
+            on_change,
+            self.membership,
+            self._timing,
+            self._metrics,
+        )
         self.membership.share_table(watch)
         return watch
 
--- a/packages/router/src/hemlockhall_router/process/store.py
+++ b/packages/router/src/hemlockhall_router/process/store.py
@@ -28,6 +28,10 @@
     """No response came: a write may have been applied, or may be applied later."""
 
 
+class StoreTimeoutError(StoreNoAnswerError):
+    """No response came before the deadline of the call."""
+
+
 class HistoryCompactedError(StoreError):
     """The store no longer keeps the changes since the given version."""
 
@@ -104,6 +108,7 @@
     "StoreError",
     "StoreNoAnswerError",
     "StoreRefusedError",
+    "StoreTimeoutError",
     "Table",
     "VersionConflictError",
     "WriteResult",
--- a/packages/router/src/hemlockhall_router/process/watch.py
+++ b/packages/router/src/hemlockhall_router/process/watch.py
@@ -9,11 +9,18 @@
 import anyio
 from loguru import logger
 
-from hemlockhall_router.process.store import HistoryCompactedError, Row, StoreError
+from hemlockhall_router.process.store import (
+    HistoryCompactedError,
+    Row,
+    StoreError,
+    StoreRefusedError,
+    StoreTimeoutError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.store import ReadResult, Store, Table
     from hemlockhall_router.process.timing import Timing
 
@@ -29,6 +36,10 @@
 MIN_WAIT_FRACTION = 0.5
 # Deletions kept for hosts with an older version of the table.
 MAX_TOMBSTONES = 512
+# Upper bound of the age of a copy, which has this age before it was ever complete.
+MAX_AGE_S = 3600.0
+# Source of rows that did not come from another host.
+STORE_SOURCE = "store"
 
 
 class WatchPolicy(Protocol):
@@ -51,6 +62,8 @@
     monotonic time as of which the copy is known to be complete. ``connected`` tells
     whether this host watches the store and its last call succeeded, ``connected_at``
     when that began; ``last_failure_at`` is the time of the last failed call, or 0.
+    ``source`` is where the newest rows came from, ``STORE_SOURCE`` or the address of a
+    host, and ``delay_s`` the longest time that they can have taken to arrive.
 
     Parameters
     ----------
@@ -64,6 +77,8 @@
         Decides whether this host polls the store.
     timing : Timing
         Timeouts and pauses.
+    metrics : Metrics
+        Counts the outcomes of calls, and exports the age of the copy.
     """
 
     def __init__(
@@ -73,6 +88,7 @@
         on_change: Callable[[list[Row]], None],
         policy: WatchPolicy,
         timing: Timing,
+        metrics: Metrics,
     ) -> None:
         self._store = store
         self._policy = policy
@@ -89,6 +105,18 @@
         self.connected = False
         self.connected_at = 0.0
         self.last_failure_at = 0.0
+        self.source = STORE_SOURCE
+        self.delay_s = 0.0
+        self._call_started_at = 0.0
+        # ``age_s`` before the last response of the store.
+        self._previous_age_s = MAX_AGE_S
+        self._metrics = metrics
+        metrics.add_gauge("table_age_seconds", table.value, lambda: self.age_s)
+
+    @property
+    def age_s(self) -> float:
+        """Time since the copy was last known to be complete, at most ``MAX_AGE_S``."""
+        return min(time.monotonic() - self.complete_as_of, MAX_AGE_S)
 
     async def run(self) -> None:
         """Watch the table while the policy asks for it, until cancelled."""
@@ -100,6 +128,7 @@
                 has_copy = self.version > 0
                 await anyio.sleep(POLICY_CHECK_INTERVAL_S)
                 continue
+            self._call_started_at = time.monotonic()
             try:
                 if not has_copy:
                     result = await self._read()
@@ -110,6 +139,7 @@
                         await anyio.sleep(self._timing.debounce_s)
                 delay_s = RETRY_MIN_S
             except HistoryCompactedError:
+                self._count("compacted")
                 logger.info(
                     "history compacted, reading whole table", table=self.table.value
                 )
@@ -128,6 +158,7 @@
         deadline = time.monotonic() + self._timing.read_timeout_s
         result = await self._store.read(self.table, deadline)
         self._mark_connected()
+        self._count("read")
         self.replace(result.rows, result.version)
         return result
 
@@ -135,10 +166,12 @@
         wait_s = self._policy.long_poll_s() * random.uniform(MIN_WAIT_FRACTION, 1.0)  # noqa: S311
         result = await self._store.changes(self.table, self.version, wait_s)
         self._mark_connected()
+        self._count("changed" if result.rows else "unchanged")
         self.apply(result.rows, result.version)
         return result
 
     def _mark_connected(self) -> None:
+        self._previous_age_s = self.age_s
         self.complete_as_of = time.monotonic()
         if self.connected:
             return
@@ -148,11 +181,22 @@
 
     def _mark_failed(self, exc: StoreError) -> None:
         self.last_failure_at = time.monotonic()
+        self._count(_outcome(exc))
+        logger.info(
+            "store call failed",
+            table=self.table.value,
+            outcome=_outcome(exc),
+            cause=str(exc),
+            elapsed_ms=int((self.last_failure_at - self._call_started_at) * 1000),
+        )
         if not self.connected:
             return
         self.connected = False
         logger.warning("store lost", table=self.table.value, cause=str(exc))
 
+    def _count(self, outcome: str) -> None:
+        self._metrics.count("store_watch_calls", f"{self.table.value}_{outcome}")
+
     @property
     def store_unreachable(self) -> bool:
         """Whether calls to the store fail, the last one recently."""
@@ -174,10 +218,18 @@
             self.complete_as_of = max(self.complete_as_of, as_of)
         return False
 
-    def apply(self, rows: tuple[Row, ...] | list[Row], version: int) -> None:
+    def apply(
+        self,
+        rows: tuple[Row, ...] | list[Row],
+        version: int,
+        source: str = STORE_SOURCE,
+    ) -> None:
         """Apply the changes between the current version and a newer one."""
         if version <= self.version:
             return
+        self.source = source
+        from_store = source == STORE_SOURCE
+        self.delay_s = self._previous_age_s if from_store else self.age_s
         changed_rows = []
         for row in rows:
             known = self.rows.get(row.key) or self._tombstones.get(row.key)
@@ -190,7 +242,12 @@
         if changed_rows:
             self._on_change(changed_rows)
 
-    def replace(self, rows: tuple[Row, ...] | list[Row], version: int) -> None:
+    def replace(
+        self,
+        rows: tuple[Row, ...] | list[Row],
+        version: int,
+        source: str = STORE_SOURCE,
+    ) -> None:
         """Replace all rows by those of a newer version; delete the others."""
         if version <= self.version:
             return
@@ -199,7 +256,7 @@
         for key in list(self.rows):
             if key not in kept:
                 changes.append(Row(key, b"", version, deleted=True))
-        self.apply(changes, version)
+        self.apply(changes, version, source)
 
     def _put(self, row: Row) -> None:
         if not row.deleted:
@@ -226,7 +283,15 @@
         return False, changed
 
 
+def _outcome(exc: StoreError) -> str:
+    if isinstance(exc, StoreTimeoutError):
+        return "timed_out"
+    return "refused" if isinstance(exc, StoreRefusedError) else "no_answer"
+
+
 __all__ = [
+    "MAX_AGE_S",
+    "STORE_SOURCE",
     "Watch",
     "WatchPolicy",
 ]
--- a/packages/standins/src/hemlockhall_standins/router/store.py
+++ b/packages/standins/src/hemlockhall_standins/router/store.py
@@ -15,12 +15,15 @@
     Store,
     StoreNoAnswerError,
     StoreRefusedError,
+    StoreTimeoutError,
     Table,
     VersionConflictError,
     WriteResult,
 )
 
 POLL_INTERVAL_S = 0.005
+# Seconds that a call for changes may take beyond its wait.
+LONG_POLL_MARGIN_S = 0.5
 
 
 @dataclass
@@ -30,7 +33,7 @@
     ``down`` refuses every call. The next ``lose_writes`` writes take effect but
     raise as if their response were lost. ``history_from`` is the version since
     which changes are kept. With ``hide_changes``, long polls for changes time out
-    without any.
+    without any. ``silence`` ends the calls for changes that are under way.
     """
 
     down: bool = False
@@ -43,6 +46,8 @@
     )
     history: list[tuple[Table, Row]] = field(default_factory=list)
     reads: int = 0
+    # Number of times that the open connections went silent.
+    _silences: int = 0
 
     def put(self, table: Table, key: str, value: bytes) -> int:
         """Write a row without a condition; return its version."""
@@ -63,6 +68,13 @@
         self.history.clear()
         self.history_from = self.version
 
+    def silence(self) -> None:
+        """Lose the calls for changes under way, without an error to their callers.
+
+        As on open connections that went silent for good while new ones work.
+        """
+        self._silences += 1
+
     async def read(self, table: Table, deadline: float) -> ReadResult:
         """Return all rows."""
         self._raise_if_down()
@@ -73,7 +85,12 @@
     async def changes(self, table: Table, after: int, wait_s: float) -> ReadResult:
         """Return the rows changed after a version; wait for one up to ``wait_s``."""
         deadline = time.monotonic() + wait_s
+        silences = self._silences
         while True:
+            if silences != self._silences:
+                remaining_s = deadline + LONG_POLL_MARGIN_S - time.monotonic()
+                await anyio.sleep(remaining_s)
+                raise StoreTimeoutError("nothing received before the deadline")
             self._raise_if_down()
             if after < self.history_from:
                 raise HistoryCompactedError(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -20,6 +20,7 @@
     HistoryCompactedError,
     StoreNoAnswerError,
     StoreRefusedError,
+    StoreTimeoutError,
     Table,
     VersionConflictError,
 )
@@ -38,10 +39,14 @@
 
 @dataclass
 class ScriptedServer:
-    """Answers each call with the next of ``responses``; None closes the connection."""
+    """Answers each call with the next of ``responses``; None closes the connection.
+
+    A ``silent`` server leaves calls without a response.
+    """
 
     responses: list[tuple[int, dict] | None]
     calls: list[tuple[str, dict, dict]] = field(default_factory=list)
+    silent: bool = False
 
     async def serve(self, stream: SocketStream) -> None:
         reader = CallerReader(stream, CallerLimits())
@@ -51,6 +56,8 @@
                 target = urlsplit(head.target.decode())
                 query = {key: value[0] for key, value in parse_qs(target.query).items()}
                 self.calls.append((target.path, query, json.loads(body or b"{}")))
+                if self.silent:
+                    await anyio.sleep_forever()
                 response = self.responses.pop(0)
                 if response is None:
                     return
@@ -108,6 +115,12 @@
             with pytest.raises(StoreRefusedError):
                 await store.read(Table.ROUTING, deadline())
 
+    async def test_no_response_before_the_deadline_is_a_timeout(self) -> None:
+        async with scripted_store(None) as (store, server):
+            server.silent = True
+            with pytest.raises(StoreTimeoutError):
+                await store.read(Table.ROUTING, time.monotonic() + 0.05)
+
 
 class TestWriting:
     async def test_a_write_is_conditional_on_the_version(self) -> None:
--- a/tests/router/test_explain.py
+++ b/tests/router/test_explain.py
@@ -8,7 +8,7 @@
 import pytest
 from loguru import logger
 
-from hemlockhall_standins.router.dialect import RouteRow
+from hemlockhall_standins.router.dialect import RouteRow, new_store
 from hemlockhall_standins.router.endpoint import ReceivedRequest
 from hemlockhall_standins.router.harness import router_harness
 
@@ -84,3 +84,46 @@
         assert refused["reason"] == "unknown_key"
         in_force = matching(lines, event="configuration in force")
         assert refused["version"] == in_force[-1]["version"]
+        assert refused["age_ms"] >= 0
+
+
+class TestConfigurationSource:
+    async def test_log_lines_tell_rows_of_the_store_from_those_of_a_host(
+        self, lines: list[dict[str, Any]]
+    ) -> None:
+        """A host without the store has its configuration from another one: the line
+        names that host, the row's version and the longest delay."""
+
+        async def respond(received: ReceivedRequest) -> None:
+            await received.answer(200, b"")
+
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("p1", respond, **HOLDER)
+            address, second_store = new_store()
+            second_store.down = True
+            await harness.add_router(address=address)
+        in_force = matching(lines, event="configuration in force")
+        assert [line["source"] for line in in_force] == ["store", harness.listens[0]]
+        assert in_force[0]["row_version"] == in_force[1]["row_version"]
+        assert all(line["delay_ms"] >= 0 for line in in_force)
+
+    async def test_a_call_without_a_response_is_logged_and_counted(
+        self, lines: list[dict[str, Any]]
+    ) -> None:
+        """A long poll on a dead connection ends by its deadline only: its line and
+        its counter differ from those of a store that refuses calls."""
+        async with router_harness(ROUTES) as harness:
+            harness.store.silence()
+            await harness.wait_until(
+                lambda: matching(lines, event="store call failed", table="routing")
+            )
+            harness.store.down = True
+            await harness.wait_until(
+                lambda: matching(lines, outcome="refused", table="routing")
+            )
+            metrics = harness.routers[0]._metrics.render().decode()
+        (first, *_) = matching(lines, event="store call failed", table="routing")
+        assert first["outcome"] == "timed_out"
+        assert first["elapsed_ms"] > 0
+        assert 'store_watch_calls_total{label="routing_timed_out"} 1\n' in metrics
+        assert 'hemlockhall_table_age_seconds{label="routing"}' in metrics
