--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Generic, TypeVar
 
@@ -106,7 +105,7 @@
         get_local_state: Callable[[], LocalState],
         get_table_versions: Callable[[], list[TableVersion]],
         send: Callable[[str, Message], None],
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float],
     ) -> None:
         self.roster = Roster(own, timing)
         self._seeds = [seed for seed in seeds if seed != own.address]
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -125,7 +125,13 @@
         self._on_layer_updates = on_layer_updates
         self._metrics = metrics
         self._exchange = Exchange(
-            own, seeds, timing, get_local_state, self._table_versions, self._enqueue
+            own,
+            seeds,
+            timing,
+            get_local_state,
+            self._table_versions,
+            self._enqueue,
+            time.monotonic,
         )
         self._watches: dict[str, Watch] = {}
         self._count = HostCount()
--- a/packages/standins/src/hemlockhall_standins/router/harness.py
+++ b/packages/standins/src/hemlockhall_standins/router/harness.py
@@ -73,7 +73,11 @@
     listens: list[str] = field(default_factory=list)
 
     async def add_router(
-        self, *, grace_s: float = 3.0, address: str | None = None
+        self,
+        *,
+        grace_s: float = 3.0,
+        address: str | None = None,
+        data_centre: str = "here",
     ) -> Router:
         """Start a router and wait until it is ready."""
         name = f"host-{len(self.routers)}"
@@ -81,7 +85,7 @@
         settings = RouterSettings(
             host=HostSection(
                 name=name,
-                data_centre="here",
+                data_centre=data_centre,
                 dialect="standin",
                 dialect_module="hemlockhall_standins.router.dialect",
             ),
@@ -177,14 +181,18 @@
 
 @asynccontextmanager
 async def router_harness(
-    routes: list[RouteRow], *, keys: dict[str, str] | None = None, **limits: float
+    routes: list[RouteRow],
+    *,
+    keys: dict[str, str] | None = None,
+    data_centre: str = "here",
+    **limits: float,
 ) -> AsyncIterator[RouterHarness]:
     """Run one router until the block ends; ``limits`` are fields of RoutingRow."""
     address, store = new_store()
     async with anyio.create_task_group() as group:
         harness = RouterHarness(group, store, address, routes, keys)
         harness.configure(**limits)
-        await harness.add_router()
+        await harness.add_router(data_centre=data_centre)
         try:
             yield harness
         finally:
--- a/packages/standins/src/hemlockhall_standins/router/store.py
+++ b/packages/standins/src/hemlockhall_standins/router/store.py
@@ -21,6 +21,7 @@
     WriteResult,
 )
 
+# Shortest duration of a call for changes, and the interval of looking for one.
 POLL_INTERVAL_S = 0.005
 # Seconds that a call for changes may take beyond its wait.
 LONG_POLL_MARGIN_S = 0.5
@@ -33,7 +34,8 @@
     ``down`` refuses every call. The next ``lose_writes`` writes take effect but
     raise as if their response were lost. ``history_from`` is the version since
     which changes are kept. With ``hide_changes``, long polls for changes time out
-    without any. ``silence`` ends the calls for changes that are under way.
+    without any. ``silence`` ends the calls for changes that are under way. ``calls``
+    counts those that were made.
     """
 
     down: bool = False
@@ -46,6 +48,7 @@
     )
     history: list[tuple[Table, Row]] = field(default_factory=list)
     reads: int = 0
+    calls: int = 0
     # Number of times that the open connections went silent.
     _silences: int = 0
 
@@ -84,7 +87,9 @@
 
     async def changes(self, table: Table, after: int, wait_s: float) -> ReadResult:
         """Return the rows changed after a version; wait for one up to ``wait_s``."""
+        self.calls += 1
         deadline = time.monotonic() + wait_s
+        await anyio.sleep(POLL_INTERVAL_S)
         silences = self._silences
         while True:
             if silences != self._silences:
--- /dev/null
+++ b/tests/router/test_watch.py
@@ -0,0 +1,82 @@
+"""Cached tables after the connections to the store went silent, in virtual time."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import pytest
+
+from hemlockhall_router.process.setting import BoundsSection
+from hemlockhall_standins.router.dialect import RouteRow
+from hemlockhall_standins.router.endpoint import ReceivedRequest
+from hemlockhall_standins.router.harness import RouterHarness, router_harness
+from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
+
+pytestmark = pytest.mark.anyio
+
+ROUTES = [RouteRow("/read/", "idempotent", "desk")]
+CONFIG_S = BoundsSection().config_ms / 1000
+DRAIN_S = BoundsSection().drain_ms / 1000
+# Seconds in which hosts hear each other, and in which calls that follow a change
+# together have begun.
+START_S = 2.0
+POLLS_BEGUN_S = 0.45
+
+
+@pytest.fixture()
+def clock(monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
+    clock = VirtualClock()
+    monkeypatch.setattr(time, "monotonic", clock.monotonic)
+    return clock
+
+
+@pytest.fixture()
+def anyio_backend(clock: VirtualClock) -> tuple[str, dict[str, Any]]:
+    return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock)}
+
+
+async def respond(received: ReceivedRequest) -> None:
+    await received.answer(200, b"")
+
+
+async def add_hosts(harness: RouterHarness, count: int) -> None:
+    """Start hosts in three data centres, up to ``count`` with the first."""
+    for number in range(1, count):
+        await harness.add_router(data_centre=f"place-{number % 3}")
+    await anyio.sleep(START_S)
+
+
+async def seconds_until(harness: RouterHarness, condition: Callable[[], bool]) -> float:
+    started_at = time.monotonic()
+    await harness.wait_until(condition)
+    return time.monotonic() - started_at
+
+
+# Every host watches the store up to three hosts, as no data centre has a second one.
+@pytest.mark.parametrize("hosts", [1, 3, 4])
+class TestSilentConnections:
+    async def test_a_new_configuration_is_in_force_within_its_bound(
+        self, hosts: int
+    ) -> None:
+        """Guards against a configuration that hosts use for longer than its bound
+        after a newer one was accepted: the connections of all hosts to the store go
+        silent at once, just after their long polls began."""
+        random.seed(hosts)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            await add_hosts(harness, hosts)
+            routers = harness.routers
+            harness.configure()
+            await harness.wait_until(
+                lambda: all(r.routing.version == 2 for r in routers)
+            )
+            await anyio.sleep(POLLS_BEGUN_S)
+            harness.store.silence()
+            harness.configure()
+            elapsed_s = await seconds_until(
+                harness, lambda: all(r.routing.version == 3 for r in routers)
+            )
+        assert elapsed_s <= CONFIG_S
