End long polls within the time in which a configuration must be in force

Cause: a connection to the store that goes silent ends a call by the call's deadline only. Where every host watches the store (one host in each of three data centres) long polls waited up to 5 s and were given up after 5.5 s, as 'the others' would know of a change; the connections of all go silent at the same moment, and then nobody knows. The class: a failure is detected later than the promise that depends on it.

The test of test_timing.py fails before for want of the times that it adds up.

Why the fix works: wait, rest of the deadline and pause before the next call add up to 0.95 of the bound for any bound, alone or with others, and reading a whole table too. The deadline is passed to the store's client, which had added 0.5 s of its own.

--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -182,14 +182,14 @@
     def long_poll_s(self) -> float:
         """Return how long one call for changes waits at the store, in seconds.
 
-        Without a live peer it is ``Timing.long_poll_alone_s``, and if all hosts are
-        store watchers ``Timing.long_poll_s``. Otherwise the calls of a host that is
-        not a store watcher do not wait, and those of all store watchers together
-        confirm the cached tables of the other hosts ``CONFIRMATIONS_PER_STALENESS``
-        times within the maximum staleness, or more often.
+        It is at most ``Timing.long_poll_s``, also where every host watches the store:
+        the connections of all can go silent at once. The calls of a host that is not
+        a store watcher do not wait. Those of all store watchers together confirm the
+        cached tables of the other hosts ``CONFIRMATIONS_PER_STALENESS`` times within
+        the maximum staleness, or more often.
         """
         if not self.has_live_peers():
-            return self._timing.long_poll_alone_s
+            return self._timing.long_poll_s
         watchers = self._exchange.store_watcher_count()
         if watchers >= self.host_count():
             return self._timing.long_poll_s
--- a/packages/router/src/hemlockhall_router/process/store.py
+++ b/packages/router/src/hemlockhall_router/process/store.py
@@ -86,8 +86,13 @@
         """Return all rows of a table as of one version."""
 
     @abstractmethod
-    async def changes(self, table: Table, after: int, wait_s: float) -> ReadResult:
-        """Return the rows changed after a version; wait up to ``wait_s`` for one."""
+    async def changes(
+        self, table: Table, after: int, wait_s: float, deadline: float
+    ) -> ReadResult:
+        """Return the rows changed after a version.
+
+        The store waits up to ``wait_s`` for one; ``deadline`` is that of the call.
+        """
 
     @abstractmethod
     async def write(
--- a/packages/router/src/hemlockhall_router/process/timing.py
+++ b/packages/router/src/hemlockhall_router/process/timing.py
@@ -21,10 +21,16 @@
 # Changes come in groups, and each call to the store is billed.
 DEBOUNCE_S = 0.4
 DEBOUNCE_FRACTION = 0.2
-# Multiples of ``config_ms``. The first bounds long polls while other hosts are heard,
-# the second applies while none is heard.
-LONG_POLL_FACTOR = 2.5
-LONG_POLL_ALONE_FACTOR = 1.25
+# Connections can go silent without an error, those of all hosts at once: then only the
+# deadline of a call ends it. A long poll, the rest of its deadline and the pause before
+# the next call are together shorter than ``config_ms``.
+LONG_POLL_FRACTION = 0.5
+RESPONSE_TIMEOUT_S = 0.5
+RESPONSE_TIMEOUT_FRACTION = 0.25
+RETRY_MIN_S = 0.2
+RETRY_MIN_FRACTION = 0.1
+RETRY_MAX_S = 0.4
+RETRY_MAX_FRACTION = 0.2
 READ_TIMEOUT_S = 1.5
 READ_TIMEOUT_FRACTION = 0.75
 # Multiples of ``heartbeat_ms``, at which endpoints renew their entries.
@@ -67,14 +73,24 @@
         return min(DEBOUNCE_S, self._config_s * DEBOUNCE_FRACTION)
 
     @property
-    def long_poll_alone_s(self) -> float:
-        """Duration of a long poll while no other host is heard."""
-        return self._config_s * LONG_POLL_ALONE_FACTOR
+    def long_poll_s(self) -> float:
+        """Longest duration of a long poll."""
+        return self._config_s * LONG_POLL_FRACTION
 
     @property
-    def long_poll_s(self) -> float:
-        """Longest duration of a long poll while other hosts are heard."""
-        return self._config_s * LONG_POLL_FACTOR
+    def response_timeout_s(self) -> float:
+        """Time that a call for changes may take beyond its wait at the store."""
+        return min(RESPONSE_TIMEOUT_S, self._config_s * RESPONSE_TIMEOUT_FRACTION)
+
+    @property
+    def retry_min_s(self) -> float:
+        """Pause after the first failed call to the store."""
+        return min(RETRY_MIN_S, self._config_s * RETRY_MIN_FRACTION)
+
+    @property
+    def retry_max_s(self) -> float:
+        """Longest pause after a failed call of a store watcher."""
+        return min(RETRY_MAX_S, self._config_s * RETRY_MAX_FRACTION)
 
     @property
     def read_timeout_s(self) -> float:
--- a/packages/router/src/hemlockhall_router/process/watch.py
+++ b/packages/router/src/hemlockhall_router/process/watch.py
@@ -24,10 +24,7 @@
     from hemlockhall_router.process.store import ReadResult, Store, Table
     from hemlockhall_router.process.timing import Timing
 
-# Backoff between calls while the store does not answer.
-RETRY_MIN_S = 0.2
-RETRY_MAX_S = 0.5
-# Upper bound for a host that gets changes from the store watchers.
+# Upper bound of the backoff on a host that gets changes from the store watchers.
 RETRY_MAX_NON_WATCHER_S = 2.0
 # Interval at which a host that does not watch the store checks whether it should.
 POLICY_CHECK_INTERVAL_S = 0.05
@@ -121,7 +118,7 @@
     async def run(self) -> None:
         """Watch the table while the policy asks for it, until cancelled."""
         has_copy = self.version > 0
-        delay_s = RETRY_MIN_S
+        delay_s = self._timing.retry_min_s
         while True:
             if not self._policy.should_watch():
                 self.connected = False
@@ -137,7 +134,7 @@
                     result = await self._changes()
                     if result.rows:
                         await anyio.sleep(self._timing.debounce_s)
-                delay_s = RETRY_MIN_S
+                delay_s = self._timing.retry_min_s
             except HistoryCompactedError:
                 self._count("compacted")
                 logger.info(
@@ -148,7 +145,7 @@
                 self._mark_failed(exc)
                 await anyio.sleep(delay_s)
                 max_delay_s = (
-                    RETRY_MAX_S
+                    self._timing.retry_max_s
                     if self._policy.is_store_watcher()
                     else RETRY_MAX_NON_WATCHER_S
                 )
@@ -164,7 +161,8 @@
 
     async def _changes(self) -> ReadResult:
         wait_s = self._policy.long_poll_s() * random.uniform(MIN_WAIT_FRACTION, 1.0)  # noqa: S311
-        result = await self._store.changes(self.table, self.version, wait_s)
+        deadline = time.monotonic() + wait_s + self._timing.response_timeout_s
+        result = await self._store.changes(self.table, self.version, wait_s, deadline)
         self._mark_connected()
         self._count("changed" if result.rows else "unchanged")
         self.apply(result.rows, result.version)
--- a/packages/standins/src/hemlockhall_standins/router/store.py
+++ b/packages/standins/src/hemlockhall_standins/router/store.py
@@ -23,8 +23,6 @@
 
 # Shortest duration of a call for changes, and the interval of looking for one.
 POLL_INTERVAL_S = 0.005
-# Seconds that a call for changes may take beyond its wait.
-LONG_POLL_MARGIN_S = 0.5
 
 
 @dataclass
@@ -85,16 +83,17 @@
         rows = tuple(self.tables[table].values())
         return ReadResult(rows, self.version, time.monotonic())
 
-    async def changes(self, table: Table, after: int, wait_s: float) -> ReadResult:
+    async def changes(
+        self, table: Table, after: int, wait_s: float, deadline: float
+    ) -> ReadResult:
         """Return the rows changed after a version; wait for one up to ``wait_s``."""
         self.calls += 1
-        deadline = time.monotonic() + wait_s
-        await anyio.sleep(POLL_INTERVAL_S)
+        wait_until = time.monotonic() + wait_s
         silences = self._silences
+        await anyio.sleep(POLL_INTERVAL_S)
         while True:
             if silences != self._silences:
-                remaining_s = deadline + LONG_POLL_MARGIN_S - time.monotonic()
-                await anyio.sleep(remaining_s)
+                await anyio.sleep(deadline - time.monotonic())
                 raise StoreTimeoutError("nothing received before the deadline")
             self._raise_if_down()
             if after < self.history_from:
@@ -105,7 +104,7 @@
             for name, row in self.history:
                 if name is table and row.version > after and not self.hide_changes:
                     rows.append(row)
-            if rows or time.monotonic() >= deadline:
+            if rows or time.monotonic() >= wait_until:
                 version = after if self.hide_changes else self.version
                 return ReadResult(tuple(rows), version, time.monotonic())
             await anyio.sleep(POLL_INTERVAL_S)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -98,7 +98,7 @@
     async def test_changes_include_deleted_rows(self) -> None:
         rows = [row("a", b"\x00\xff", 7), row("b", ver=8, deleted=True)]
         async with scripted_store((200, {"rows": rows, "ver": 8})) as (store, server):
-            result = await store.changes(Table.ROUTING, 5, 1.5)
+            result = await store.changes(Table.ROUTING, 5, 1.5, deadline())
             assert server.calls[0][0] == "/api/rows-feed"
             assert server.calls[0][1] == {"table": "op", "after": "5", "waitMs": "1500"}
             assert result.rows[0].value == b"\x00\xff"
@@ -107,7 +107,7 @@
     async def test_compacted_history_raises(self) -> None:
         async with scripted_store((410, {})) as (store, _):
             with pytest.raises(HistoryCompactedError):
-                await store.changes(Table.ROUTING, 5, 1.0)
+                await store.changes(Table.ROUTING, 5, 1.0, deadline())
 
     @pytest.mark.parametrize("status", [429, 503])
     async def test_an_error_status_raises_refused(self, status: int) -> None:
--- a/tests/router/test_timing.py
+++ b/tests/router/test_timing.py
@@ -47,6 +47,16 @@
         assert spent_s < config_ms / 1000
         assert timing.max_staleness_s < config_ms / 1000
 
+    @pytest.mark.parametrize("config_ms", [500, 1000, 2000, 3000, 4000, 8000])
+    def test_a_dead_call_is_made_again_within_the_bound(self, config_ms: float) -> None:
+        """Guards against a call on a connection that went silent which lasts longer
+        than a configuration may be out of date."""
+        timing = Timing(BoundsSection(config_ms=config_ms))
+        call_s = max(
+            timing.long_poll_s + timing.response_timeout_s, timing.read_timeout_s
+        )
+        assert call_s + timing.retry_max_s < config_ms / 1000
+
 
 class TestBounds:
     def test_a_bound_of_zero_is_rejected(self, tmp_path: Path) -> None:
