Call the store for a table only while that table is out of date

What would be seen: a host that does not watch the store makes a call each few milliseconds; calls are billed and share a limit with all hosts.

Cause: whether a host calls the store itself was decided over all tables. Its calls do not wait, so while one table stayed out of date, as its calls failed, the other one was asked again and again without a pause.

Why the fix works: each table decides by its own age, and a call that succeeds makes it complete.

--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -162,18 +162,18 @@
             group.start_soon(self._receive, udp)
             await listener.serve(self._serve_fetch, group)
 
-    def should_watch(self) -> bool:
-        """Return whether this host should call the store itself.
+    def should_watch(self, watch: Watch) -> bool:
+        """Return whether this host should call the store itself for a table.
 
-        The store watchers do, and so does a host that has not read all tables, has no
-        live peer, or has a table that was last known to be complete too long ago.
+        The store watchers do, and so does a host that has not read the table, has no
+        live peer, or last knew the table to be complete too long ago. Another table
+        makes no difference: the calls of a host that is not a store watcher do not
+        wait, so it would make them without a pause until the other one is complete.
         """
-        if self._exchange.is_store_watcher() or not self._can_rely_on_peers():
+        if self._exchange.is_store_watcher() or not self.has_live_peers():
             return True
-        oldest = (
-            time.monotonic() - self._timing.max_staleness_s * self._staleness_factor
-        )
-        return any(watch.complete_as_of < oldest for watch in self._watches.values())
+        max_age_s = self._timing.max_staleness_s * self._staleness_factor
+        return watch.version == 0 or watch.age_s > max_age_s
 
     def is_store_watcher(self) -> bool:
         """Return whether other hosts rely on the changes that this one receives."""
@@ -198,12 +198,6 @@
         shared_s = self._timing.max_staleness_s * watchers / CONFIRMATIONS_PER_STALENESS
         return min(self._timing.long_poll_s, shared_s)
 
-    def _can_rely_on_peers(self) -> bool:
-        """Return whether all tables were read and a live peer can report newer ones."""
-        if any(watch.version == 0 for watch in self._watches.values()):
-            return False
-        return self.has_live_peers()
-
     @property
     def is_hub(self) -> bool:
         """Whether this host is a hub of its data centre."""
--- a/packages/router/src/hemlockhall_router/process/watch.py
+++ b/packages/router/src/hemlockhall_router/process/watch.py
@@ -42,8 +42,8 @@
 class WatchPolicy(Protocol):
     """Whether and how this host watches the store."""
 
-    def should_watch(self) -> bool:
-        """Return whether this host should poll the store itself."""
+    def should_watch(self, watch: Watch) -> bool:
+        """Return whether this host should poll the store itself for a table."""
 
     def is_store_watcher(self) -> bool:
         """Return whether other hosts rely on this host's polls."""
@@ -120,7 +120,7 @@
         has_copy = self.version > 0
         delay_s = self._timing.retry_min_s
         while True:
-            if not self._policy.should_watch():
+            if not self._policy.should_watch(self):
                 self.connected = False
                 has_copy = self.version > 0
                 await anyio.sleep(POLICY_CHECK_INTERVAL_S)
--- a/packages/standins/src/hemlockhall_standins/router/store.py
+++ b/packages/standins/src/hemlockhall_standins/router/store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 import anyio
@@ -29,11 +29,12 @@
 class MemoryStore(Store):
     """Tables in memory, with one version counter and a history of changes.
 
-    ``down`` refuses every call. The next ``lose_writes`` writes take effect but
-    raise as if their response were lost. ``history_from`` is the version since
-    which changes are kept. With ``hide_changes``, long polls for changes time out
-    without any. ``silence`` ends the calls for changes that are under way. ``calls``
-    counts those that were made.
+    ``down`` refuses every call, ``refused_tables`` those for changes of some tables.
+    The next ``lose_writes`` writes take effect but raise as if their response were
+    lost. ``history_from`` is the version since which changes are kept. With
+    ``hide_changes``, long polls for changes time out without any. ``silence`` ends the
+    calls for changes that are under way. ``calls`` counts those that were made by
+    table.
     """
 
     down: bool = False
@@ -46,7 +47,8 @@
     )
     history: list[tuple[Table, Row]] = field(default_factory=list)
     reads: int = 0
-    calls: int = 0
+    refused_tables: set[Table] = field(default_factory=set)
+    calls: Counter[Table] = field(default_factory=Counter)
     # Number of times that the open connections went silent.
     _silences: int = 0
 
@@ -87,7 +89,7 @@
         self, table: Table, after: int, wait_s: float, deadline: float
     ) -> ReadResult:
         """Return the rows changed after a version; wait for one up to ``wait_s``."""
-        self.calls += 1
+        self.calls[table] += 1
         wait_until = time.monotonic() + wait_s
         silences = self._silences
         await anyio.sleep(POLL_INTERVAL_S)
@@ -96,6 +98,8 @@
                 await anyio.sleep(deadline - time.monotonic())
                 raise StoreTimeoutError("nothing received before the deadline")
             self._raise_if_down()
+            if table in self.refused_tables:
+                raise StoreRefusedError("the table is down: see refused_tables")
             if after < self.history_from:
                 raise HistoryCompactedError(
                     f"no changes before version {self.history_from}: read the table"
--- a/tests/router/test_watch.py
+++ b/tests/router/test_watch.py
@@ -11,6 +11,8 @@
 import pytest
 
 from hemlockhall_router.process.setting import BoundsSection
+from hemlockhall_router.process.store import Table
+from hemlockhall_router.process.timing import Timing
 from hemlockhall_standins.router.dialect import RouteRow
 from hemlockhall_standins.router.endpoint import ReceivedRequest
 from hemlockhall_standins.router.harness import RouterHarness, router_harness
@@ -24,6 +26,8 @@
 # Seconds in which hosts hear each other, and in which calls that follow a change
 # together have begun.
 START_S = 2.0
+# Longer than the greatest age of a table.
+OUTAGE_S = 4.0
 POLLS_BEGUN_S = 0.45
 
 
@@ -80,3 +84,18 @@
                 harness, lambda: all(r.routing.version == 3 for r in routers)
             )
         assert elapsed_s <= CONFIG_S
+
+
+class TestStaleTables:
+    async def test_one_stale_table_does_not_make_a_host_read_the_other(self) -> None:
+        """Guards against a host that calls the store without a pause for a table that
+        is up to date, as its other table is not: calls for that one fail."""
+        random.seed(1)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            await add_hosts(harness, 4)
+            harness.store.refused_tables.add(Table.ENDPOINTS)
+            await anyio.sleep(OUTAGE_S)
+            calls = harness.store.calls[Table.ROUTING]
+            await anyio.sleep(OUTAGE_S)
+            calls = harness.store.calls[Table.ROUTING] - calls
+        assert calls < 4 * OUTAGE_S / Timing(BoundsSection()).retry_min_s
