--- a/tests/router/test_timing.py
+++ b/tests/router/test_timing.py
@@ -57,6 +57,16 @@
         )
         assert call_s + timing.retry_max_s < config_ms / 1000
 
+    def test_a_dead_call_is_made_again_within_the_shorter_bound(self) -> None:
+        """Guards against requests to an endpoint that began to drain while the calls
+        for the table of endpoints were dead: they follow ``drain_ms``."""
+        timing = Timing(BoundsSection(config_ms=8000, drain_ms=1000))
+        call_s = max(
+            timing.long_poll_s + timing.response_timeout_s, timing.read_timeout_s
+        )
+        assert call_s + timing.retry_max_s < 1.0
+        assert timing.max_staleness_s < 1.0
+
 
 class TestBounds:
     def test_a_bound_of_zero_is_rejected(self, tmp_path: Path) -> None:
--- a/tests/router/test_watch.py
+++ b/tests/router/test_watch.py
@@ -85,6 +85,25 @@
             )
         assert elapsed_s <= CONFIG_S
 
+    async def test_a_draining_endpoint_is_known_within_its_bound(
+        self, hosts: int
+    ) -> None:
+        """Guards against requests to an endpoint that said that it drains, for longer
+        than the bound: the connections of all hosts to the store go silent at once,
+        just before it says so."""
+        random.seed(hosts)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            await add_hosts(harness, hosts)
+            endpoint = await harness.start_endpoint("d1", respond)
+            records = [router.directory.records for router in harness.routers]
+            await anyio.sleep(POLLS_BEGUN_S)
+            harness.store.silence()
+            harness.register(endpoint, "desk", draining=True)
+            elapsed_s = await seconds_until(
+                harness, lambda: all(r["d1"].endpoint.draining for r in records)
+            )
+        assert elapsed_s <= DRAIN_S
+
 
 class TestStaleTables:
     async def test_one_stale_table_does_not_make_a_host_read_the_other(self) -> None:
