Count the age of a cached table from what the store knew

What callers would see: requests handled as an older configuration says at a host that does not watch the store, though it could reach the store.

Cause: a table counted as complete as of the arrival of a response. A response that was held up (a cut, lost packets, a process that stood still) says what the store knew when it responded.

Why the fix works: a response without rows is sent after the wait that was asked for, one with rows not before the call began; the age counts from there.

--- a/packages/router/src/hemlockhall_router/process/watch.py
+++ b/packages/router/src/hemlockhall_router/process/watch.py
@@ -152,25 +152,29 @@
                 delay_s = min(max_delay_s, delay_s * 1.5)
 
     async def _read(self) -> ReadResult:
-        deadline = time.monotonic() + self._timing.read_timeout_s
+        started_at = time.monotonic()
+        deadline = started_at + self._timing.read_timeout_s
         result = await self._store.read(self.table, deadline)
-        self._mark_connected()
+        self._mark_connected(started_at)
         self._count("read")
         self.replace(result.rows, result.version)
         return result
 
     async def _changes(self) -> ReadResult:
         wait_s = self._policy.long_poll_s() * random.uniform(MIN_WAIT_FRACTION, 1.0)  # noqa: S311
-        deadline = time.monotonic() + wait_s + self._timing.response_timeout_s
+        started_at = time.monotonic()
+        deadline = started_at + wait_s + self._timing.response_timeout_s
         result = await self._store.changes(self.table, self.version, wait_s, deadline)
-        self._mark_connected()
+        # The response may have been held up on its way. The store responds without
+        # rows after the wait, and with rows at any time since the call began.
+        self._mark_connected(started_at if result.rows else started_at + wait_s)
         self._count("changed" if result.rows else "unchanged")
         self.apply(result.rows, result.version)
         return result
 
-    def _mark_connected(self) -> None:
+    def _mark_connected(self, as_of: float) -> None:
         self._previous_age_s = self.age_s
-        self.complete_as_of = time.monotonic()
+        self.complete_as_of = max(self.complete_as_of, min(as_of, time.monotonic()))
         if self.connected:
             return
         self.connected = True
--- a/packages/standins/src/hemlockhall_standins/router/store.py
+++ b/packages/standins/src/hemlockhall_standins/router/store.py
@@ -34,7 +34,8 @@
     lost. ``history_from`` is the version since which changes are kept. With
     ``hide_changes``, long polls for changes time out without any. ``silence`` ends the
     calls for changes that are under way. ``calls`` counts those that were made by
-    table.
+    table. Responses to them arrive ``delay_s`` after ``responded_at``, the time of the
+    last one.
     """
 
     down: bool = False
@@ -46,6 +47,8 @@
         default_factory=lambda: defaultdict(dict)
     )
     history: list[tuple[Table, Row]] = field(default_factory=list)
+    delay_s: float = 0.0
+    responded_at: float = 0.0
     reads: int = 0
     refused_tables: set[Table] = field(default_factory=set)
     calls: Counter[Table] = field(default_factory=Counter)
@@ -110,6 +113,8 @@
                     rows.append(row)
             if rows or time.monotonic() >= wait_until:
                 version = after if self.hide_changes else self.version
+                self.responded_at = time.monotonic()
+                await anyio.sleep(self.delay_s)
                 return ReadResult(tuple(rows), version, time.monotonic())
             await anyio.sleep(POLL_INTERVAL_S)
 
--- a/tests/router/test_watch.py
+++ b/tests/router/test_watch.py
@@ -118,3 +118,25 @@
             await anyio.sleep(OUTAGE_S)
             calls = harness.store.calls[Table.ROUTING] - calls
         assert calls < 4 * OUTAGE_S / Timing(BoundsSection()).retry_min_s
+
+
+class TestAge:
+    @pytest.mark.parametrize("change", [False, True])
+    async def test_a_response_held_up_does_not_make_the_copy_younger(
+        self, change: bool
+    ) -> None:
+        """Guards against hosts that ask the store too late: the age that a store
+        watcher tells them counted from the arrival of a response, which said what the
+        store knew before."""
+        async with router_harness(ROUTES) as harness:
+            await anyio.sleep(START_S)
+            watch = harness.routers[0]._routing_watch
+            harness.store.delay_s = 0.3
+            calls = harness.store.calls[Table.ROUTING]
+            if change:
+                harness.configure()
+            await harness.wait_until(
+                lambda: harness.store.calls[Table.ROUTING] == calls + 2
+            )
+            assert watch.complete_as_of <= harness.store.responded_at
+            assert watch.connected
