Read a table of several pages as of its first page

What callers would see: a route, or the draining of an endpoint, that a host never learns of.

Cause: the result had the version of the last page. A row of an earlier page that changed while later pages were read has a version between the two; the host asked for the changes after the last page's version and never got it. Tables of over 500 rows have several pages: endpoints at the size that the users state, none today.

The test of the pages asserted the last page's version, that is, the fault; it asserts the first page's now, and states what it guards against.

Why the fix works: all changes after the first page's version are asked for next; rows that the pages had already are ignored by their version.

--- a/packages/router/src/hemlockhall_router/process/store.py
+++ b/packages/router/src/hemlockhall_router/process/store.py
@@ -60,7 +60,10 @@
 
 @dataclass(slots=True, frozen=True)
 class ReadResult:
-    """Rows as of one version; ``store_time_s`` is the store's monotonic clock."""
+    """Rows as of one version; ``store_time_s`` is the store's monotonic clock.
+
+    Rows of a large table may be newer than ``version``; none is older.
+    """
 
     rows: tuple[Row, ...]
     version: int
@@ -83,7 +86,7 @@
 
     @abstractmethod
     async def read(self, table: Table, deadline: float) -> ReadResult:
-        """Return all rows of a table as of one version."""
+        """Return all rows of a table, each as of the version or newer."""
 
     @abstractmethod
     async def changes(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -86,12 +86,15 @@
 
 class TestReading:
     async def test_all_pages_are_read(self) -> None:
+        """Guards against a change that is lost for good: a row of the first page
+        changes before the second one is read, and only changes after the version of
+        the result are asked for."""
         first = {"rows": [row("a"), row("b")], "hasMore": True, "ver": 5, "nowMs": 9}
         second = {"rows": [row("c")], "hasMore": False, "ver": 6, "nowMs": 2500}
         async with scripted_store((200, first), (200, second)) as (store, server):
             result = await store.read(Table.ENDPOINTS, deadline())
             assert [entry.key for entry in result.rows] == ["a", "b", "c"]
-            assert (result.version, result.store_time_s) == (6, 2.5)
+            assert (result.version, result.store_time_s) == (5, 2.5)
             assert server.calls[0][1] == {"table": "servers"}
             assert server.calls[1][1]["from"] == "b\0"
 
