Leave the stores alone for less time than a document may take to be in force

What callers would see: an entry host of our own interface that keeps an old document for over 4 s after one was accepted.

Evidence: in virtual time, with the longest backoff and interval, the document was in force 4.2 s after the stores returned in one of seven outages (bound 4 s); all seven pass now.

Why the fix works: the longest backoff, an interval and the timeout of a call are 3.7 s together.

--- a/packages/core/src/hemlockhall_core/process/table.py
+++ b/packages/core/src/hemlockhall_core/process/table.py
@@ -21,7 +21,10 @@
 
 STORE_TIMEOUT_S = 1.0
 MIN_BACKOFF_S = 0.5
-MAX_BACKOFF_S = 4.0
+# Calls, also reads of the document in force, fail during a backoff. With a timeout and
+# the interval of these reads it is shorter than the time in which an accepted document
+# must be in force.
+MAX_BACKOFF_S = 1.5
 # Errors that are raised before a request is sent, so nothing can have been written.
 NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
--- a/packages/daemon/src/hemlockhalld/process/document_poller.py
+++ b/packages/daemon/src/hemlockhalld/process/document_poller.py
@@ -15,6 +15,10 @@
     from hemlockhall_core.version.document_cache import DocumentCache
     from hemlockhall_core.version.repository import Repository
 
+# Bounds of the random factor of the interval.
+MIN_INTERVAL_FACTOR = 0.8
+MAX_INTERVAL_FACTOR = 1.2
+
 
 class DocumentPoller:
     """Reads the head of the document at jittered intervals.
@@ -43,7 +47,8 @@
                 await self.poll()
             except (PlatformError, SubmitError) as exc:
                 logger.debug("document not read: {}", exc)
-            await anyio.sleep(self._interval_s * random.uniform(0.8, 1.2))
+            factor = random.uniform(MIN_INTERVAL_FACTOR, MAX_INTERVAL_FACTOR)
+            await anyio.sleep(self._interval_s * factor)
 
     async def poll(self) -> None:
         """Read the head and adopt it if its version is higher."""
--- /dev/null
+++ b/tests/daemon/process/test_document_poller.py
@@ -0,0 +1,85 @@
+"""Reads of the document after an outage of the stores, in virtual time."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+
+from hemlockhall_core.process.metric import Metrics
+from hemlockhall_core.process.setting import EntrySection
+from hemlockhall_core.process.table import Objects, Table
+from hemlockhall_core.version.document_cache import DocumentCache
+from hemlockhall_core.version.repository import HEAD_KEY, Repository
+from hemlockhall_core.version.text import digest
+from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
+from hemlockhalld.process.document_poller import DocumentPoller
+
+pytestmark = pytest.mark.anyio
+
+TEXT = "[priorities.normal]\nrank = 1"
+# An accepted document is in force everywhere within this time.
+IN_FORCE_S = 4.0
+POLL_S = EntrySection.model_fields["poll_s"].default
+
+
+@pytest.fixture()
+def clock(monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
+    clock = VirtualClock()
+    monkeypatch.setattr(time, "monotonic", clock.monotonic)
+    return clock
+
+
+@pytest.fixture()
+def anyio_backend(clock: VirtualClock) -> tuple[str, dict[str, Any]]:
+    return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock)}
+
+
+class TestOutage:
+    @pytest.mark.parametrize("outage_s", [30.0, 30.7, 31.4, 32.1, 32.8, 33.5, 34.2])
+    async def test_a_document_is_in_force_in_time_after_an_outage(
+        self, outage_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an old document that stays in force: a process that could
+        not reach the stores for long waits for its backoff to end, longer than a
+        document may take to be in force."""
+        # The longest backoff and interval, in place of random ones.
+        monkeypatch.setattr(random, "uniform", lambda low, high: high)
+        away = True
+        revision = {
+            "version": 1,
+            "digests": {"priorities": digest(TEXT)},
+            "submit": "s",
+            "who": "w",
+            "when": "now",
+        }
+
+        def respond(request: httpx.Request) -> httpx.Response:
+            if away:
+                raise httpx.ConnectError("no route to the store", request=request)
+            if request.url.path == f"/rows/{HEAD_KEY}":
+                row = {"key": HEAD_KEY, "value": revision, "version": 1}
+                return httpx.Response(200, json=row)
+            return httpx.Response(200, text=TEXT)
+
+        table, objects = Table("http://store"), Objects("http://store")
+        for store in (table, objects):
+            store._client = httpx.AsyncClient(
+                base_url="http://store", transport=httpx.MockTransport(respond)
+            )
+        cache = DocumentCache(("priorities",), Metrics(), lambda: None)
+        poller = DocumentPoller(Repository(table, objects), cache, POLL_S)
+        async with anyio.create_task_group() as group:
+            group.start_soon(poller.run)
+            await anyio.sleep(outage_s)
+            away = False
+            returned_at = time.monotonic()
+            while cache.version == 0:
+                await anyio.sleep(0.01)
+            elapsed_s = time.monotonic() - returned_at
+            group.cancel_scope.cancel()
+        assert elapsed_s <= IN_FORCE_S
