--- a/tests/core/connection/test_peer.py
+++ b/tests/core/connection/test_peer.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import pytest
@@ -17,6 +18,7 @@
     Peer,
     Timing,
 )
+from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
 
 OWN_BOOT, PEER_BOOT = 7, 5
 
@@ -184,3 +186,38 @@
         peer.post(message)
         assert peer.cancel(message)
         assert not peer.cancel(message)
+
+
+class TestHeldUp:
+    @pytest.fixture()
+    def clock(self, monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
+        clock = VirtualClock()
+        monkeypatch.setattr(time, "monotonic", clock.monotonic)
+        return clock
+
+    @pytest.fixture()
+    def anyio_backend(self, clock: VirtualClock) -> tuple[str, dict[str, Any]]:
+        return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock)}
+
+    # This process is not scheduled for a while, as on an overloaded machine. Then the
+    # checks of all peers are due before the batches that arrived are read, and a
+    # response would end for want of any path.
+    @pytest.mark.anyio
+    async def test_a_peer_is_not_lost_while_this_process_is_held_up(
+        self, clock: VirtualClock, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(Peer, "_dial", lambda self: None)
+        peer = Peer("a", "10.0.0.1:1", FakeLink(), None, OWN_BOOT)  # type: ignore[arg-type]
+        peer.receive(batch(1))
+        timing = peer.link.timing
+        async with anyio.create_task_group() as group:
+            group.start_soon(peer.run)
+            await anyio.sleep(0.1)
+            clock.advance(2 * timing.dead_s)
+            await anyio.sleep(0.01)
+            alive_after_hold_up = peer.alive
+            await anyio.sleep(timing.dead_s + timing.idle_s)
+            alive_after_silence = peer.alive
+            group.cancel_scope.cancel()
+        assert alive_after_hold_up
+        assert not alive_after_silence
