Share the virtual clock of the tests

Cause: three test modules had the same fixture. It stands in tests/conftest.py now; each module still chooses its event loop.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+import time
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,8 @@
 from hypothesis import settings
 from loguru import logger
 
+from hemlockhall_standins.virtual_time import VirtualClock
+
 settings.register_profile("same", derandomize=True, deadline=None)
 settings.load_profile("same")
 
@@ -38,6 +41,14 @@
     return "asyncio", {"loop_factory": AcceptSafeEventLoop}
 
 
+@pytest.fixture()
+def clock(monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
+    """Virtual time, for tests whose event loop is a ``VirtualTimeLoop``."""
+    clock = VirtualClock()
+    monkeypatch.setattr(time, "monotonic", clock.monotonic)
+    return clock
+
+
 @pytest.fixture(autouse=True, scope="session")
 def quiet_log() -> None:
     logger.remove()
--- a/tests/core/connection/test_peer.py
+++ b/tests/core/connection/test_peer.py
@@ -189,12 +189,6 @@
 
 
 class TestHeldUp:
-    @pytest.fixture()
-    def clock(self, monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
-        clock = VirtualClock()
-        monkeypatch.setattr(time, "monotonic", clock.monotonic)
-        return clock
-
     @pytest.fixture()
     def anyio_backend(self, clock: VirtualClock) -> tuple[str, dict[str, Any]]:
         return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock)}
--- a/tests/daemon/process/test_document_poller.py
+++ b/tests/daemon/process/test_document_poller.py
@@ -27,13 +27,6 @@
 POLL_S = EntrySection.model_fields["poll_s"].default
 
 
-@pytest.fixture()
-def clock(monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
-    clock = VirtualClock()
-    monkeypatch.setattr(time, "monotonic", clock.monotonic)
-    return clock
-
-
 @pytest.fixture()
 def anyio_backend(clock: VirtualClock) -> tuple[str, dict[str, Any]]:
     return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock)}
--- a/tests/router/test_watch.py
+++ b/tests/router/test_watch.py
@@ -23,19 +23,12 @@
 ROUTES = [RouteRow("/read/", "idempotent", "desk")]
 CONFIG_S = BoundsSection().config_ms / 1000
 DRAIN_S = BoundsSection().drain_ms / 1000
-# Seconds in which hosts hear each other, and in which calls that follow a change
-# together have begun.
+# Seconds in which hosts hear each other.
 START_S = 2.0
+# Seconds after a change in which the next long polls have begun.
+POLLS_BEGUN_S = 0.45
 # Longer than the greatest age of a table.
 OUTAGE_S = 4.0
-POLLS_BEGUN_S = 0.45
-
-
-@pytest.fixture()
-def clock(monkeypatch: pytest.MonkeyPatch) -> VirtualClock:
-    clock = VirtualClock()
-    monkeypatch.setattr(time, "monotonic", clock.monotonic)
-    return clock
 
 
 @pytest.fixture()
