--- a/packages/core/src/hemlockhall_core/connection/peer.py
+++ b/packages/core/src/hemlockhall_core/connection/peer.py
@@ -117,8 +117,6 @@
     _next_heartbeat_at: float = 0.0
     _last_traffic_at: float = 0.0
     _busy_since: float = 0.0
-    # Time since the last batch in which this process was not scheduled.
-    _held_up_s: float = 0.0
     _wake: anyio.Event = field(default_factory=anyio.Event)
     _closed: bool = False
 
@@ -164,7 +162,6 @@
             return False
         now = time.monotonic()
         self.last_seen_at = now
-        self._held_up_s = 0.0
         if batch.boot != self.boot:
             self._handle_restart(batch)
         if batch.address != self.address:
@@ -238,10 +235,10 @@
         """Send new and unacknowledged batches, acknowledgements and heartbeats."""
         self._dial()
         while not self._closed:
-            wakeup_at = self._next_wakeup_at()
-            with anyio.move_on_after(max(0.0, wakeup_at - time.monotonic())):
+            with anyio.move_on_after(
+                max(0.0, self._next_wakeup_at() - time.monotonic())
+            ):
                 await self._wake.wait()
-            self._held_up_s += max(0.0, time.monotonic() - wakeup_at)
             self._wake = anyio.Event()
             self._check_liveness()
             await self._send_pending()
@@ -340,10 +337,9 @@
         # before that must not count: the peer would be considered dead with the
         # first message.
         slack_s = 0.0 if busy else timing.idle_s - timing.heartbeat_s
-        # Batches that arrived while this process was not scheduled are read after
-        # this check: that time is no silence of the peer.
-        silent_since = max(self.last_seen_at, self._busy_since if busy else 0.0)
-        silence = now - silent_since - slack_s - self._held_up_s
+        silence = (
+            now - max(self.last_seen_at, self._busy_since if busy else 0.0) - slack_s
+        )
         stalled = silence
         oldest = self._unacked[0].sent_at if self._unacked else 0.0
         if self.boot and oldest:
