Log and count the request limits that endpoints state

The record of the LIMIT report had no line and no counter on the limit, so that nothing told a limit that no host reads from one that each host keeps by itself. The header is decoded in platform/; hosts log a limit that begins, changes or ends, with what they sent to the endpoint in the last 4 s, and have gauges of it. Nothing is decided by it yet.

--- a/packages/router/src/hemlockhall_router/process/dialect.py
+++ b/packages/router/src/hemlockhall_router/process/dialect.py
@@ -13,7 +13,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hemlockhall_router.connection.message import Headers, RequestHead
+    from hemlockhall_router.connection.message import (
+        Headers,
+        RequestHead,
+        ResponseHead,
+    )
     from hemlockhall_router.process.store import Store
     from hemlockhall_router.version.endpoint import Endpoint, EndpointReport, LayerRange
     from hemlockhall_router.version.path import Path
@@ -107,6 +111,14 @@
     def decode_token_counts(self, head: RequestHead) -> TokenCounts | None:
         """Return the token counts that a request states, or None."""
 
+    @abstractmethod
+    def decode_request_limit(self, head: ResponseHead) -> float | None:
+        """Return the request limit that an endpoint states in a response, or None.
+
+        It is the number of requests per second that the endpoint takes from all hosts
+        together. Raises ``DecodeError`` if the value is not a number of at least 0.
+        """
+
     @abstractmethod
     def encode_path(self, path: Path) -> bytes:
         """Encode a path as a header value."""
--- a/packages/router/src/hemlockhall_router/process/metric.py
+++ b/packages/router/src/hemlockhall_router/process/metric.py
@@ -62,6 +62,13 @@
         """Add a gauge, which is read when the metrics are rendered."""
         self._gauges.setdefault(name, {})[label] = read
 
+    def remove_gauges(self, label: str) -> None:
+        """Remove the gauges of any name that have this label value."""
+        for name, reads in list(self._gauges.items()):
+            reads.pop(label, None)
+            if not reads:
+                del self._gauges[name]
+
     def _increment(self, name: str, reason: Enum) -> None:
         self.count(name, reason.value)
 
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -27,6 +27,7 @@
 from hemlockhall_router.process.frontend import Frontend
 from hemlockhall_router.process.leadership import Leadership
 from hemlockhall_router.process.lease import Lease
+from hemlockhall_router.process.limits import EndpointLimits
 from hemlockhall_router.process.metric import Metrics
 from hemlockhall_router.process.outage import StoreOutage
 from hemlockhall_router.process.planner import Planner
@@ -123,6 +124,7 @@
             self.membership.host_count,
             self.membership.retry_usage,
         )
+        self.limits = EndpointLimits(self._dialect, metrics)
         self._prober = Prober(
             self._dialect, self.directory, self.membership.local_host_count
         )
@@ -143,6 +145,7 @@
             metrics,
             self._prober,
             data_centre_links,
+            self.limits,
         )
         self.frontend = Frontend(
             context, lambda: self.routing, lambda: self._routing_watch.age_s
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -101,6 +101,7 @@
             resume_after,
         )
         self._sent_at = time.monotonic()
+        self._context.limits.record_sent(self.path.first_endpoint)
         with self._translate_errors():
             assert self._conn is not None
             await self._conn.send(data, self._request.deadline)
@@ -204,6 +205,7 @@
             head = await self.active_stream.wait(self._conn.read_head, deadline)
             echoed = head.header(name)
             if echoed is None or echoed == self._request.id:
+                self._context.limits.record_response(self.path.first_endpoint, head)
                 return head
             # Skip a late response to an earlier request on this connection.
             while await self._conn.read_chunk(deadline) is not None:
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -16,6 +16,7 @@
     from hemlockhall_router.process.chooser import Chooser
     from hemlockhall_router.process.dialect import Dialect, TokenCounts
     from hemlockhall_router.process.directory import Directory, EndpointRecord
+    from hemlockhall_router.process.limits import EndpointLimits
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.prober import Prober
     from hemlockhall_router.request.active_stream import ActiveStream
@@ -43,6 +44,7 @@
     metrics: Metrics
     prober: Prober
     data_centre_links: DataCentreLinks
+    limits: EndpointLimits
 
 
 @dataclass(slots=True)
--- a/packages/standins/src/hemlockhall_standins/router/dialect.py
+++ b/packages/standins/src/hemlockhall_standins/router/dialect.py
@@ -30,7 +30,7 @@
 from hemlockhall_standins.router.store import MemoryStore
 
 if TYPE_CHECKING:
-    from hemlockhall_router.connection.message import RequestHead
+    from hemlockhall_router.connection.message import RequestHead, ResponseHead
     from hemlockhall_router.process.store import Store
     from hemlockhall_router.version.path import Path
 
@@ -203,6 +203,14 @@
         """Return None: requests of the tests carry no token counts."""
         return None
 
+    def decode_request_limit(self, head: ResponseHead) -> float | None:
+        """Return the number in the header ``request-limit``, or None."""
+        value = head.header(b"request-limit")
+        try:
+            return None if value is None else float(value)
+        except ValueError as exc:
+            raise DecodeError(f"request limit: {exc}") from exc
+
     def encode_path(self, path: Path) -> bytes:
         """Encode a path as ``id:first-end``, separated by spaces."""
         stages = []
--- a/packages/standins/src/hemlockhall_standins/router/endpoint.py
+++ b/packages/standins/src/hemlockhall_standins/router/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from socket import SO_LINGER, SOL_SOCKET
@@ -53,6 +54,7 @@
         end in CRLF.
         """
         signed = "" if "not-run" in headers else f"signature: {self.endpoint.name}\r\n"
+        headers += self.endpoint.limit_header()
         echo = f"request-id: {self.header('request-id')}\r\n"
         head = f"HTTP/1.1 {status} X\r\n{signed}{echo}{headers}"
         head += f"content-length: {len(body)}\r\n\r\n"
@@ -67,6 +69,7 @@
         head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
         head += f"signature: {self.endpoint.name}\r\n"
         head += f"request-id: {self.header('request-id')}\r\n"
+        head += self.endpoint.limit_header()
         await self.stream.send(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
 
     async def raw(self, data: bytes) -> None:
@@ -108,7 +111,9 @@
 
     ``GET /state`` and ``POST /hold`` are served without the handler. The next
     ``unanswered_orders`` orders get no response; ``apply_pending_orders`` applies
-    them. ``disconnects`` counts callers that closed their connection early.
+    them. ``disconnects`` counts callers that closed their connection early. Responses
+    state ``request_limit``, in requests per second, unless it is None. ``arrivals`` are
+    the monotonic times at which requests to the handler arrived.
     """
 
     name: str
@@ -120,6 +125,8 @@
     disconnects: int = 0
     unanswered_orders: int = 0
     pending_orders: list[OrderRow] = field(default_factory=list)
+    request_limit: float | None = None
+    arrivals: list[float] = field(default_factory=list)
     _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     async def start(self, group: TaskGroup) -> None:
@@ -166,6 +173,7 @@
             await self._receive_order(request)
         else:
             self.received.append(request)
+            self.arrivals.append(time.monotonic())
             await self.handler(request)
         if request.ended:
             return False
@@ -182,6 +190,12 @@
             return
         await request.answer(202 if self._apply_order(order) else 409)
 
+    def limit_header(self) -> str:
+        """Return the header line that states the request limit, or nothing."""
+        if self.request_limit is None:
+            return ""
+        return f"request-limit: {self.request_limit}\r\n"
+
     def apply_pending_orders(self) -> None:
         """Apply the orders that got no response."""
         while self.pending_orders:
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -8,7 +8,7 @@
 import pytest
 
 from hemlockhall_platform.dialect import PlatformDialect
-from hemlockhall_router.connection.message import RequestHead
+from hemlockhall_router.connection.message import RequestHead, ResponseHead
 from hemlockhall_router.process.dialect import DecodeError
 from hemlockhall_router.version.endpoint import Endpoint, LayerRange
 from hemlockhall_router.version.path import Path, Stage
@@ -229,3 +229,18 @@
             is None
         )
         assert DIALECT.decode_token_counts(RequestHead(b"POST", b"/", [])) is None
+
+
+class TestRequestLimit:
+    def test_a_decimal_number_is_requests_per_second(self) -> None:
+        head = ResponseHead(200, b"OK", [(b"Server-Limit", b" 1.25")])
+        assert DIALECT.decode_request_limit(head) == 1.25
+
+    def test_a_response_without_the_header_states_none(self) -> None:
+        assert DIALECT.decode_request_limit(ResponseHead(200, b"OK", [])) is None
+
+    @pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf"])
+    def test_other_values_are_refused(self, value: bytes) -> None:
+        head = ResponseHead(200, b"OK", [(b"Server-Limit", value)])
+        with pytest.raises(DecodeError, match="send a decimal number"):
+            DIALECT.decode_request_limit(head)
