--- a/packages/router/src/hemlockhall_router/policy/permit.py
+++ b/packages/router/src/hemlockhall_router/policy/permit.py
@@ -9,19 +9,17 @@
 
 from dataclasses import dataclass
 from math import ceil, floor
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hemlockhall_router.process.setting import LimitsSection
 
 # Shortest slot in seconds; higher limits have several permits a slot. Each slot costs
 # processor time at each host.
 MIN_SLOT_S = 0.02
-# Lowest rate in requests per second. With a lower one, no response would tell for long
-# that the endpoint no longer states a limit.
-MIN_RATE = 0.2
-# A permit may be used until this long after its slot began, and until as many further
-# permits became available, whichever adds up to more at a low rate: callers arrive at
-# random. Both count as a burst at the endpoint: it gets at most what the limit allows
-# in one more second, and VALIDITY_PERMITS and one slot of permits beyond that.
-VALIDITY_S = 1.5
-VALIDITY_PERMITS = 3
+# Highest rate in requests per second, more than all hosts send. It bounds the permits
+# that are kept.
+MAX_RATE = 10_000.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -37,11 +35,11 @@
     validity_s: float
 
     @classmethod
-    def of(cls, limit: float) -> PermitSchedule:
+    def of(cls, limit: float, cfg: LimitsSection) -> PermitSchedule:
         """Return the schedule for a limit in requests per second."""
-        rate = max(MIN_RATE, limit)
+        rate = min(MAX_RATE, max(cfg.min_rate, limit))
         permits = ceil(rate * MIN_SLOT_S)
-        validity_s = VALIDITY_S + VALIDITY_PERMITS / rate
+        validity_s = cfg.validity_s + cfg.validity_permits / rate
         return cls(permits, permits / rate, validity_s)
 
     @property
--- a/packages/router/src/hemlockhall_router/process/limits.py
+++ b/packages/router/src/hemlockhall_router/process/limits.py
@@ -18,6 +18,7 @@
 from hemlockhall_router.membership.message import RequestLimit, endpoint_key
 from hemlockhall_router.policy.permit import PermitSchedule
 from hemlockhall_router.process.dialect import DecodeError
+from hemlockhall_router.process.setting import LimitsSection
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -119,6 +120,8 @@
         endpoint.
     clock : callable
         Returns the monotonic time in seconds.
+    cfg : LimitsSection, optional
+        The settings; may be replaced, and then holds for limits stated later.
     """
 
     def __init__(
@@ -128,7 +131,9 @@
         peers: Peers,
         metrics: Metrics,
         clock: Callable[[], float],
+        cfg: LimitsSection | None = None,
     ) -> None:
+        self.cfg = cfg or LimitsSection()
         self._dialect = dialect
         self._directory = directory
         self._peers = peers
@@ -328,7 +333,7 @@
         limited = _Limited(
             label,
             statement,
-            PermitSchedule.of(statement.rate),
+            PermitSchedule.of(statement.rate, self.cfg),
             self._peers.shared_clock.now(),
         )
         self._limited[key] = limited
@@ -340,7 +345,7 @@
 
     def _change(self, limited: _Limited, rate: float, source: str) -> None:
         old = limited.schedule
-        schedule = PermitSchedule.of(rate)
+        schedule = PermitSchedule.of(rate, self.cfg)
         # A lower limit leaves fewer of the unused permits.
         kept = ceil(len(limited.permits) * min(1.0, schedule.rate / old.rate))
         while len(limited.permits) > kept:
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -69,8 +69,9 @@
     Parameters
     ----------
     path : Path
-        The settings file; reloaded when it changes. The sections ``retry``, ``bounds``
-        and ``leave`` then take effect, the others only after a restart.
+        The settings file; reloaded when it changes. The sections ``retry``,
+        ``bounds``, ``limits`` and ``leave`` then take effect, the others only after a
+        restart.
     settings : RouterSettings
         Its contents.
     metrics : Metrics
@@ -126,7 +127,12 @@
             self.membership.retry_usage,
         )
         self.limits = EndpointLimits(
-            self._dialect, self.directory, self.membership, metrics, time.monotonic
+            self._dialect,
+            self.directory,
+            self.membership,
+            metrics,
+            time.monotonic,
+            settings.limits,
         )
         self._prober = Prober(
             self._dialect,
@@ -357,6 +363,7 @@
         self.budget.constant = settings.retry.constant
         self.budget.window_s = settings.retry.window_s
         self._timing.bounds = settings.bounds
+        self.limits.cfg = settings.limits
         logger.info("settings reloaded")
 
     async def _handle_signals(self) -> None:
--- a/packages/router/src/hemlockhall_router/process/setting.py
+++ b/packages/router/src/hemlockhall_router/process/setting.py
@@ -81,6 +81,21 @@
     heartbeat_ms: float = 1200.0
 
 
+class LimitsSection(msgspec.Struct, frozen=True, kw_only=True):
+    """How hosts keep the request limits that endpoints state.
+
+    A permit to send a request may be used for ``validity_s`` seconds, and for as long
+    as ``validity_permits`` further ones take to become available: callers arrive at
+    random. In a burst an endpoint gets as many requests more than its limit allows. A
+    limit below ``min_rate`` requests per second counts as that: hosts learn from
+    responses that a limit has ended.
+    """
+
+    validity_s: float = 1.5
+    validity_permits: float = 3.0
+    min_rate: float = 0.2
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """Minimum level of log lines."""
 
@@ -100,6 +115,7 @@
     retry: RetrySection = RetrySection()
     leave: LeaveSection = LeaveSection()
     bounds: BoundsSection = BoundsSection()
+    limits: LimitsSection = LimitsSection()
     log: LogSection = LogSection()
 
 
@@ -132,7 +148,7 @@
 
 
 def _validate_positive(path: Path, settings: RouterSettings) -> None:
-    for section in ("bounds", "leave"):
+    for section in ("bounds", "leave", "limits"):
         fields = msgspec.structs.asdict(getattr(settings, section))
         for name, value in fields.items():
             if value > 0:
--- a/tests/router/test_timing.py
+++ b/tests/router/test_timing.py
@@ -79,3 +79,9 @@
         path = tmp_path / "settings.toml"
         path.write_text(SETTINGS + "config_ms = 4000\n")
         assert load_settings(path).bounds.config_ms == 4000
+
+    def test_a_validity_of_zero_is_rejected(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS + "[limits]\nvalidity_s = 0\n")
+        with pytest.raises(SettingsError, match="limits.validity_s: must be above 0"):
+            load_settings(path)
