Show that entry hosts together go past low limits of customers

Fails as committed: 32 hosts admit 32 requests at once, where the rate allows 1 and the concurrency 4. Not fixed here: a part that follows demand needs what the router's hosts tell each other, which the daemon's do not.

--- a/tests/daemon/process/test_limiter.py
+++ b/tests/daemon/process/test_limiter.py
@@ -31,3 +31,22 @@
             limiter.admit(CUSTOMER)
         assert caught.value.reason is RefusalReason.RATE_LIMITED
         assert caught.value.retry_after == pytest.approx(1000, rel=0.01)
+
+
+class TestManyHosts:
+    @pytest.mark.parametrize(
+        "customer", [Customer("parish", 1, 1.0, 100), Customer("parish", 1, 100.0, 4)]
+    )
+    def test_hosts_together_keep_limits_below_their_number(
+        self, customer: Customer
+    ) -> None:
+        """Guards against 32 hosts that each admit one request, as a share of a limit
+        below one is rounded up: a customer's limits hold for all hosts together."""
+        admitted = 0
+        for limiter in [Limiter(lambda: 32) for _ in range(32)]:
+            try:
+                limiter.admit(customer)
+            except Problem:
+                continue
+            admitted += 1
+        assert admitted <= min(customer.concurrency, max(1.0, customer.rate_per_s))
