Do not try an endpoint that failed a request again at once for want of a permit

Cause: without a permit for the other endpoints a stream searched those that had failed it at once too, not after the wait that spaces attempts out, and so used up its retries and the budget of all. Evidence: TestFailedEndpoints failed before (0.0 s between two attempts, 0.036 s is the least). Now only a request that no endpoint has failed yet is refused without any wait.

--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -289,7 +289,9 @@
             path = self._choose_path(self._excluded_ids, first_endpoint_ids)
             if path is not None:
                 return path
-            if time.monotonic() >= deadline or self._without_permit:
+            if self._only_a_permit_is_missing():
+                return None
+            if time.monotonic() >= deadline:
                 path = self._choose_path(set(), first_endpoint_ids)
                 if (
                     path is not None
@@ -297,7 +299,7 @@
                     or self._path_wait_expired()
                 ):
                     return path
-            await self._wait_for_path(interval_s)
+            await self._wait_for_path(interval_s, deadline)
             interval_s = min(MAX_POLL_INTERVAL_S, interval_s * POLL_BACKOFF_FACTOR)
 
     def _choose_path(
@@ -317,12 +319,24 @@
             self._without_permit = exc.endpoints
             return None
 
-    async def _wait_for_path(self, seconds: float) -> None:
-        """Wait before the next search for a path, for a permit if that is missing."""
-        if self._without_permit:
-            await self._context.limits.wait_for_permit(PERMIT_WAIT_S)
-        else:
+    def _only_a_permit_is_missing(self) -> bool:
+        """Return whether to refuse a new request without any wait."""
+        if self._writer.started or self._excluded_ids:
+            return False
+        return bool(self._without_permit)
+
+    async def _wait_for_path(self, seconds: float, deadline: float) -> None:
+        """Wait before the next search for a path, for a permit if that is missing.
+
+        From ``deadline`` on endpoints that failed the request are searched too, so a
+        stream that still has no permit then waits longer between two searches.
+        """
+        if not self._without_permit:
             await anyio.sleep(seconds)
+            return
+        if time.monotonic() >= deadline:
+            seconds = PERMIT_WAIT_S
+        await self._context.limits.wait_for_permit(seconds)
 
     def _path_wait_expired(self) -> bool:
         """Return whether to stop waiting for a path.
--- a/tests/router/test_limits.py
+++ b/tests/router/test_limits.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import time
+from itertools import pairwise
 from typing import Any
 
 import anyio
 import pytest
 
+from hemlockhall_router.connection.error import TransportError
+from hemlockhall_router.process.chooser import NO_PATH_BACKOFF_S
 from hemlockhall_router.process.limits import LOOK_AHEAD_S, LOOK_AHEAD_SLOTS
 from hemlockhall_router.process.router import MAINTENANCE_INTERVAL_S
+from hemlockhall_router.request.stream import MIN_PATH_WAIT_FRACTION
 from hemlockhall_standins.router.dialect import RouteRow
 from hemlockhall_standins.router.endpoint import ReceivedRequest, RequestHandler
 from hemlockhall_standins.router.harness import router_harness
@@ -193,6 +198,24 @@
         assert most_in_window(limited.arrivals, WINDOW_S, after) <= allowed(1.0)
 
 
+class TestFailedEndpoints:
+    async def test_one_is_not_tried_again_at_once_for_want_of_a_permit(self) -> None:
+        """Guards against a stream that uses up its retries at an endpoint that just
+        failed it, as this host has no permit for the other one."""
+        async with router_harness(ROUTES) as harness:
+            limited = await harness.start_endpoint("p1", stream, **ALL_LAYERS)
+            await anyio.sleep(START_S)
+            limited.request_limit = 0.2
+            while (await harness.request("/draft/")).head.status == 200:
+                continue
+            failing = await harness.start_endpoint("p2", reset_stream, **ALL_LAYERS)
+            await anyio.sleep(NO_PATH_BACKOFF_S)
+            with contextlib.suppress(TransportError):
+                await harness.request("/draft/")
+        gaps_s = [after - at for at, after in pairwise(failing.arrivals)]
+        assert min(gaps_s) >= ROUTES[1].objective_s * MIN_PATH_WAIT_FRACTION
+
+
 class TestCost:
     async def test_many_refusals_draw_few_slots(
         self, monkeypatch: pytest.MonkeyPatch
