Decode, log and count what endpoints state of themselves in responses

A dialect now decodes all of an endpoint's statements into one type, EndpointStatement: request limit, rest and leaving. Values that cannot be decoded count as not stated; each has a message that names the value to send. Responses of requests, reports and orders all pass through EndpointStatements.record_response.

Nothing obeys the statements yet, but for the request limit as before. The tests of decode_request_limit are replaced by those of decode_statement, with the same values and more.

--- a/packages/router/src/hemlockhall_router/process/dialect.py
+++ b/packages/router/src/hemlockhall_router/process/dialect.py
@@ -19,7 +19,12 @@
         ResponseHead,
     )
     from hemlockhall_router.process.store import Store
-    from hemlockhall_router.version.endpoint import Endpoint, EndpointReport, LayerRange
+    from hemlockhall_router.version.endpoint import (
+        Endpoint,
+        EndpointReport,
+        EndpointStatement,
+        LayerRange,
+    )
     from hemlockhall_router.version.path import Path
     from hemlockhall_router.version.routing import RoutingConfig
 
@@ -112,11 +117,11 @@
         """Return the token counts that a request states, or None."""
 
     @abstractmethod
-    def decode_request_limit(self, head: ResponseHead) -> float | None:
-        """Return the request limit that an endpoint states in a response, or None.
+    def decode_statement(self, head: ResponseHead) -> EndpointStatement:
+        """Return what a response says about the endpoint that sent it.
 
-        It is the number of requests per second that the endpoint takes from all hosts
-        together. Raises ``DecodeError`` if the value is not a number of at least 0.
+        A value that cannot be decoded counts as not stated, and ``errors`` tells which
+        value the endpoint should send.
         """
 
     @abstractmethod
--- a/packages/router/src/hemlockhall_router/process/limits.py
+++ b/packages/router/src/hemlockhall_router/process/limits.py
@@ -17,19 +17,16 @@
 
 from hemlockhall_router.membership.message import RequestLimit, endpoint_key
 from hemlockhall_router.policy.permit import PermitSchedule
-from hemlockhall_router.process.dialect import DecodeError
 from hemlockhall_router.process.setting import LimitsSection
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from hemlockhall_router.connection.message import ResponseHead
     from hemlockhall_router.membership.clock import SharedClock
     from hemlockhall_router.membership.share import Shares
-    from hemlockhall_router.process.dialect import Dialect
     from hemlockhall_router.process.directory import Directory
     from hemlockhall_router.process.metric import Metrics
-    from hemlockhall_router.version.endpoint import Endpoint
+    from hemlockhall_router.version.endpoint import Endpoint, EndpointStatement
 
 # Seconds for which the requests sent to a limited endpoint are counted.
 SENT_WINDOW_S = 4.0
@@ -116,8 +113,6 @@
 
     Parameters
     ----------
-    dialect : Dialect
-        Decodes the limit in a response.
     directory : Directory
         The known endpoints.
     peers : Peers
@@ -133,7 +128,6 @@
 
     def __init__(
         self,
-        dialect: Dialect,
         directory: Directory,
         peers: Peers,
         metrics: Metrics,
@@ -141,7 +135,6 @@
         cfg: LimitsSection | None = None,
     ) -> None:
         self.cfg = cfg or LimitsSection()
-        self._dialect = dialect
         self._directory = directory
         self._peers = peers
         self._metrics = metrics
@@ -161,28 +154,21 @@
         """Whether any endpoint has a limit."""
         return bool(self._limited)
 
-    def record_response(self, endpoint: Endpoint, head: ResponseHead) -> None:
-        """Record the limit that a response to a request states, if any.
+    def record_statement(
+        self, endpoint: Endpoint, statement: EndpointStatement
+    ) -> None:
+        """Record the limit that a response states, if any.
 
         The response to an executed request that states none ends the limit.
         """
-        # 421 (Misdirected Request): another endpoint has the address.
-        if head.status == 421:
-            return
-        try:
-            rate = self._dialect.decode_request_limit(head)
-        except DecodeError as exc:
+        if "request_limit" in statement.errors:
             self._metrics.count("limit_statements", "unreadable")
-            logger.warning("limit not readable", endpoint=endpoint.id, cause=str(exc))
             return
         key = _key(endpoint)
         limited = self._limited.get(key)
-        if rate is None:
-            names = self._dialect.headers
-            signed = head.header(names.signature) is not None
-            executed = signed and head.header(names.not_executed) is None
-            if not executed or limited is None:
-                return
+        rate = statement.request_limit
+        if rate is None and (not statement.executed or limited is None):
+            return
         stated_at_ms = self._peers.shared_clock.now_ms()
         if limited is not None:
             stated_at_ms = max(stated_at_ms, limited.statement.stated_at_ms + 1)
@@ -443,7 +429,7 @@
         add("endpoint_limit_permits", label, lambda: self._usable_permits(limited))
 
     def _drop(self, limited: _Limited) -> None:
-        self._metrics.remove_gauges(limited.label)
+        self._metrics.remove_gauges(limited.label, "endpoint_limit")
 
     def _sent(self, limited: _Limited) -> int:
         """Return how many requests this host sent within ``SENT_WINDOW_S``."""
--- a/packages/router/src/hemlockhall_router/process/metric.py
+++ b/packages/router/src/hemlockhall_router/process/metric.py
@@ -62,9 +62,11 @@
         """Add a gauge, which is read when the metrics are rendered."""
         self._gauges.setdefault(name, {})[label] = read
 
-    def remove_gauges(self, label: str) -> None:
-        """Remove the gauges of any name that have this label value."""
+    def remove_gauges(self, label: str, prefix: str) -> None:
+        """Remove the gauges with this label value whose names begin with ``prefix``."""
         for name, reads in list(self._gauges.items()):
+            if not name.startswith(prefix):
+                continue
             reads.pop(label, None)
             if not reads:
                 del self._gauges[name]
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -18,7 +18,6 @@
 
 from hemlockhall_router.connection.error import TransportError
 from hemlockhall_router.process.dialect import DecodeError
-from hemlockhall_router.process.prober import call_endpoint
 from hemlockhall_router.version.layout import (
     endpoints_beyond_max_stages,
     is_complete,
@@ -304,7 +303,7 @@
         )
         try:
             deadline = time.monotonic() + ORDER_TIMEOUT_S
-            response = await call_endpoint(endpoint, call, deadline)
+            response = await self._prober.call(endpoint, call, deadline)
         except TransportError as exc:
             self._record_outcome(endpoint, order, f"no answer: {exc}")
             return False
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -11,15 +11,15 @@
 from hemlockhall_router.connection.client import ClientConnection
 from hemlockhall_router.connection.error import TransportError
 from hemlockhall_router.connection.message import encode_request
-from hemlockhall_router.process.dialect import DecodeError, EndpointCall
+from hemlockhall_router.process.dialect import DecodeError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from hemlockhall_router.connection.message import Response
-    from hemlockhall_router.process.dialect import Dialect
+    from hemlockhall_router.process.dialect import Dialect, EndpointCall
     from hemlockhall_router.process.directory import Directory
-    from hemlockhall_router.process.limits import EndpointLimits
+    from hemlockhall_router.process.statement import EndpointStatements
     from hemlockhall_router.request.active_stream import ActiveStream
     from hemlockhall_router.version.endpoint import Endpoint, EndpointReport
 
@@ -52,24 +52,6 @@
 MIN_ROUND_PROBES = 4
 
 
-async def call_endpoint(
-    endpoint: Endpoint, call: EndpointCall, deadline: float
-) -> Response:
-    """Call an endpoint's control API on a new connection.
-
-    Raises ``TransportError`` if no whole response arrives by ``deadline``.
-    """
-    host, port = endpoint.address
-    conn = await ClientConnection.open(host, port, deadline)
-    try:
-        headers = [(b"Host", f"{host}:{port}".encode()), *call.headers]
-        data = encode_request(call.method, call.target, headers, call.body)
-        await conn.send(data, deadline)
-        return await conn.read_response(deadline)
-    finally:
-        await conn.close()
-
-
 class Prober:
     """Probes endpoints of silent streams, and those that are down or slow.
 
@@ -81,8 +63,8 @@
         The endpoints and active streams; receives the results.
     host_count : callable
         Returns the number of hosts in this data centre.
-    limits : EndpointLimits
-        Gets the request limits that reports state.
+    statements : EndpointStatements
+        Gets what the responses say about the endpoints.
     """
 
     def __init__(
@@ -90,10 +72,10 @@
         dialect: Dialect,
         directory: Directory,
         host_count: Callable[[], int],
-        limits: EndpointLimits,
+        statements: EndpointStatements,
     ) -> None:
         self._dialect = dialect
-        self._limits = limits
+        self._statements = statements
         self._directory = directory
         self._host_count = host_count
         self._requested: set[str] = set()
@@ -237,14 +219,32 @@
         ``DecodeError`` if the response holds no report.
         """
         deadline = time.monotonic() + timeout_s
-        response = await call_endpoint(endpoint, self._dialect.report_call(), deadline)
-        self._limits.record_response(endpoint, response.head)
+        response = await self.call(endpoint, self._dialect.report_call(), deadline)
         if response.head.status != 200:
             raise DecodeError(f"status {response.head.status}")
         return self._dialect.decode_report(response.body)
 
+    async def call(
+        self, endpoint: Endpoint, call: EndpointCall, deadline: float
+    ) -> Response:
+        """Call an endpoint's control API on a new connection.
+
+        Raises ``TransportError`` if no whole response arrives by ``deadline``.
+        """
+        host, port = endpoint.address
+        conn = await ClientConnection.open(host, port, deadline)
+        try:
+            headers = [(b"Host", f"{host}:{port}".encode()), *call.headers]
+            data = encode_request(call.method, call.target, headers, call.body)
+            self._statements.record_sent([endpoint])
+            await conn.send(data, deadline)
+            response = await conn.read_response(deadline)
+        finally:
+            await conn.close()
+        self._statements.record_response(endpoint, response.head)
+        return response
+
 
 __all__ = [
     "Prober",
-    "call_endpoint",
 ]
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -33,6 +33,7 @@
 from hemlockhall_router.process.planner import Planner
 from hemlockhall_router.process.prober import Prober
 from hemlockhall_router.process.setting import SettingsError, load_settings
+from hemlockhall_router.process.statement import EndpointStatements
 from hemlockhall_router.process.store import Table
 from hemlockhall_router.process.timing import Timing
 from hemlockhall_router.process.watch import Watch
@@ -70,8 +71,8 @@
     ----------
     path : Path
         The settings file; reloaded when it changes. The sections ``retry``,
-        ``bounds``, ``limits`` and ``leave`` then take effect, the others only after a
-        restart.
+        ``bounds``, ``limits``, ``rest`` and ``leave`` then take effect, the others only
+        after a restart.
     settings : RouterSettings
         Its contents.
     metrics : Metrics
@@ -127,18 +128,20 @@
             self.membership.retry_usage,
         )
         self.limits = EndpointLimits(
-            self._dialect,
             self.directory,
             self.membership,
             metrics,
             time.monotonic,
             settings.limits,
         )
+        self.statements = EndpointStatements(
+            self._dialect, self.limits, metrics, time.monotonic, settings.rest
+        )
         self._prober = Prober(
             self._dialect,
             self.directory,
             self.membership.local_host_count,
-            self.limits,
+            self.statements,
         )
         data_centre_links = DataCentreLinks(self.membership.data_centre_link_sharers)
         chooser = Chooser(
@@ -159,6 +162,7 @@
             self._prober,
             data_centre_links,
             self.limits,
+            self.statements,
         )
         self.frontend = Frontend(
             context, lambda: self.routing, lambda: self._routing_watch.age_s
@@ -341,6 +345,7 @@
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
             self.limits.issue()
+            self.statements.expire()
             self.directory.process_deadlines()
             self.directory.set_remote_loads(self.membership.peer_loads())
             await self._pool.close_expired()
@@ -364,6 +369,7 @@
         self.budget.window_s = settings.retry.window_s
         self._timing.bounds = settings.bounds
         self.limits.cfg = settings.limits
+        self.statements.cfg = settings.rest
         logger.info("settings reloaded")
 
     async def _handle_signals(self) -> None:
--- a/packages/router/src/hemlockhall_router/process/setting.py
+++ b/packages/router/src/hemlockhall_router/process/setting.py
@@ -96,6 +96,15 @@
     min_rate: float = 0.2
 
 
+class RestSection(msgspec.Struct, frozen=True, kw_only=True):
+    """How hosts obey endpoints that ask for rest.
+
+    An endpoint that asks for more than ``max_s`` seconds gets that time.
+    """
+
+    max_s: float = 300.0
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """Minimum level of log lines."""
 
@@ -116,6 +125,7 @@
     leave: LeaveSection = LeaveSection()
     bounds: BoundsSection = BoundsSection()
     limits: LimitsSection = LimitsSection()
+    rest: RestSection = RestSection()
     log: LogSection = LogSection()
 
 
@@ -148,7 +158,7 @@
 
 
 def _validate_positive(path: Path, settings: RouterSettings) -> None:
-    for section in ("bounds", "leave", "limits"):
+    for section in ("bounds", "leave", "limits", "rest"):
         fields = msgspec.structs.asdict(getattr(settings, section))
         for name, value in fields.items():
             if value > 0:
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -106,6 +106,9 @@
             resume_after,
         )
         self._sent_at = time.monotonic()
+        self._context.statements.record_sent(
+            stage.endpoint for stage in self.path.stages
+        )
         with self._translate_errors():
             assert self._conn is not None
             await self._conn.send(data, self._request.deadline)
@@ -209,7 +212,7 @@
             head = await self.active_stream.wait(self._conn.read_head, deadline)
             echoed = head.header(name)
             if echoed is None or echoed == self._request.id:
-                self._context.limits.record_response(self.path.first_endpoint, head)
+                self._context.statements.record_response(self.path.first_endpoint, head)
                 return head
             # Skip a late response to an earlier request on this connection.
             while await self._conn.read_chunk(deadline) is not None:
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -161,6 +161,7 @@
     ) -> Response:
         request, context = self._request, self._context
         data = encode_upstream_request(request, context.dialect, record.endpoint)
+        context.statements.record_sent([record.endpoint])
         await conn.send(data, request.deadline)
         deadline = self._response_deadline(record)
         for _ in range(MAX_LATE_RESPONSES):
@@ -168,7 +169,7 @@
             response = await conn.read_response(deadline, no_body=no_body)
             echoed = response.head.header(context.dialect.headers.request_id)
             if echoed is None or echoed == request.id:
-                context.limits.record_response(record.endpoint, response.head)
+                context.statements.record_response(record.endpoint, response.head)
                 return response
             # A late response to an earlier request on this connection; the response
             # to this one follows it.
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -19,6 +19,7 @@
     from hemlockhall_router.process.limits import EndpointLimits
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.prober import Prober
+    from hemlockhall_router.process.statement import EndpointStatements
     from hemlockhall_router.request.active_stream import ActiveStream
     from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
@@ -45,6 +46,7 @@
     prober: Prober
     data_centre_links: DataCentreLinks
     limits: EndpointLimits
+    statements: EndpointStatements
 
 
 @dataclass(slots=True)
--- a/packages/router/src/hemlockhall_router/version/endpoint.py
+++ b/packages/router/src/hemlockhall_router/version/endpoint.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,8 +76,29 @@
     stalled: tuple[str, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class EndpointStatement:
+    """What a response says about the endpoint that sent it.
+
+    ``executed`` tells whether the endpoint executed the request, and ``rejected``
+    whether it turned it away. ``request_limit`` is the number of requests per second
+    that it takes from all hosts together, or None. It wants nothing from this host for
+    ``rest_s`` seconds, 0.0 if it asks for no rest. ``leaving`` tells that it shuts down
+    and takes no new requests. ``errors`` has a message for each of ``request_limit``,
+    ``rest`` and ``leaving`` that could not be decoded; these count as not stated.
+    """
+
+    executed: bool = False
+    rejected: bool = False
+    request_limit: float | None = None
+    rest_s: float = 0.0
+    leaving: bool = False
+    errors: dict[str, str] = field(default_factory=dict)
+
+
 __all__ = [
     "Endpoint",
-    "LayerRange",
     "EndpointReport",
+    "EndpointStatement",
+    "LayerRange",
 ]
--- a/packages/standins/src/hemlockhall_standins/router/dialect.py
+++ b/packages/standins/src/hemlockhall_standins/router/dialect.py
@@ -16,7 +16,12 @@
     TokenCounts,
     dialect,
 )
-from hemlockhall_router.version.endpoint import Endpoint, EndpointReport, LayerRange
+from hemlockhall_router.version.endpoint import (
+    Endpoint,
+    EndpointReport,
+    EndpointStatement,
+    LayerRange,
+)
 from hemlockhall_router.version.routing import (
     Accelerator,
     Customer,
@@ -203,13 +208,27 @@
         """Return None: requests of the tests carry no token counts."""
         return None
 
-    def decode_request_limit(self, head: ResponseHead) -> float | None:
-        """Return the number in the header ``request-limit``, or None."""
-        value = head.header(b"request-limit")
-        try:
-            return None if value is None else float(value)
-        except ValueError as exc:
-            raise DecodeError(f"request limit: {exc}") from exc
+    def decode_statement(self, head: ResponseHead) -> EndpointStatement:
+        """Decode the headers ``request-limit``, ``rest-s`` and ``leaving``."""
+        errors: dict[str, str] = {}
+        numbers: dict[str, float] = {}
+        for label, header in (("request_limit", "request-limit"), ("rest", "rest-s")):
+            value = head.header(header.encode())
+            if value is None:
+                continue
+            try:
+                numbers[label] = float(value)
+            except ValueError as exc:
+                errors[label] = f"{header}: {exc}"
+        not_run = head.header(self.headers.not_executed) is not None
+        return EndpointStatement(
+            executed=not not_run and head.header(self.headers.signature) is not None,
+            rejected=not_run or head.status == 503,
+            request_limit=numbers.get("request_limit"),
+            rest_s=numbers.get("rest", 0.0),
+            leaving=head.header(b"leaving") is not None,
+            errors=errors,
+        )
 
     def encode_path(self, path: Path) -> bytes:
         """Encode a path as ``id:first-end``, separated by spaces."""
--- a/packages/standins/src/hemlockhall_standins/router/endpoint.py
+++ b/packages/standins/src/hemlockhall_standins/router/endpoint.py
@@ -54,7 +54,7 @@
         end in CRLF.
         """
         signed = "" if "not-run" in headers else f"signature: {self.endpoint.name}\r\n"
-        headers += self.endpoint.limit_header()
+        headers += self.endpoint.statement_headers()
         echo = f"request-id: {self.header('request-id')}\r\n"
         head = f"HTTP/1.1 {status} X\r\n{signed}{echo}{headers}"
         head += f"content-length: {len(body)}\r\n\r\n"
@@ -62,6 +62,10 @@
 
     async def refuse(self, status: int = 503, headers: str = "") -> None:
         """Respond that the request was not executed."""
+        if self.endpoint.rest_s is not None:
+            headers += f"rest-s: {self.endpoint.rest_s}\r\n"
+            request_id = self.header("request-id") or ""
+            self.endpoint.rests.append((time.monotonic(), request_id))
         await self.answer(status, headers=f"not-run: 1\r\n{headers}")
 
     async def begin(self) -> None:
@@ -69,7 +73,7 @@
         head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
         head += f"signature: {self.endpoint.name}\r\n"
         head += f"request-id: {self.header('request-id')}\r\n"
-        head += self.endpoint.limit_header()
+        head += self.endpoint.statement_headers()
         await self.stream.send(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
 
     async def raw(self, data: bytes) -> None:
@@ -111,9 +115,13 @@
 
     ``GET /state`` and ``POST /hold`` are served without the handler. The next
     ``unanswered_orders`` orders get no response; ``apply_pending_orders`` applies
-    them. ``disconnects`` counts callers that closed their connection early. Responses
-    state ``request_limit``, in requests per second, unless it is None. ``arrivals`` are
-    the monotonic times at which requests to the handler arrived.
+    them. ``disconnects`` counts callers that closed their connection early, and
+    ``arrivals`` are the monotonic times at which requests to the handler arrived.
+
+    Responses state ``request_limit``, in requests per second, unless it is None, and
+    that the endpoint leaves if ``leaving`` is true. Refusals ask for ``rest_s`` seconds
+    of rest unless it is None; ``rests`` has the time of each of them and the id of its
+    request.
     """
 
     name: str
@@ -126,6 +134,9 @@
     unanswered_orders: int = 0
     pending_orders: list[OrderRow] = field(default_factory=list)
     request_limit: float | None = None
+    rest_s: float | str | None = None
+    rests: list[tuple[float, str]] = field(default_factory=list)
+    leaving: bool = False
     arrivals: list[float] = field(default_factory=list)
     _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
@@ -190,11 +201,14 @@
             return
         await request.answer(202 if self._apply_order(order) else 409)
 
-    def limit_header(self) -> str:
-        """Return the header line that states the request limit, or nothing."""
-        if self.request_limit is None:
-            return ""
-        return f"request-limit: {self.request_limit}\r\n"
+    def statement_headers(self) -> str:
+        """Return the header lines of what all responses state, or nothing."""
+        lines = ""
+        if self.request_limit is not None:
+            lines += f"request-limit: {self.request_limit}\r\n"
+        if self.leaving:
+            lines += "leaving: 1\r\n"
+        return lines
 
     def apply_pending_orders(self) -> None:
         """Apply the orders that got no response."""
--- a/packages/standins/src/hemlockhall_standins/router/limited.py
+++ b/packages/standins/src/hemlockhall_standins/router/limited.py
@@ -7,6 +7,7 @@
 
 from hemlockhall_router.connection.message import ResponseHead
 from hemlockhall_router.version.endpoint import Endpoint
+from hemlockhall_standins.router.dialect import StandinDialect
 from hemlockhall_standins.router.pool import SERVICE
 
 if TYPE_CHECKING:
@@ -15,6 +16,7 @@
     from hemlockhall_router.connection.message import Headers
     from hemlockhall_standins.router.network import Host, Network
 
+DIALECT = StandinDialect()
 # Seconds from a request to its response.
 RESPONSE_S = 0.05
 
@@ -55,7 +57,8 @@
 
         def respond() -> None:
             if host.alive:
-                host.limits.record_response(self.endpoint, head)
+                statement = DIALECT.decode_statement(head)
+                host.limits.record_statement(self.endpoint, statement)
 
         self.network.after(RESPONSE_S, respond)
         return True
--- a/packages/standins/src/hemlockhall_standins/router/network.py
+++ b/packages/standins/src/hemlockhall_standins/router/network.py
@@ -20,7 +20,6 @@
 from hemlockhall_router.process.router import MAINTENANCE_INTERVAL_S
 from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.timing import Timing
-from hemlockhall_standins.router.dialect import StandinDialect
 from hemlockhall_standins.router.pool import make_directory
 
 if TYPE_CHECKING:
@@ -77,7 +76,6 @@
         for endpoint in self.network.endpoints:
             directory.add(endpoint)
         self.limits = EndpointLimits(
-            StandinDialect(),
             directory,
             self.exchange,
             Metrics(),
--- a/packages/standins/src/hemlockhall_standins/router/pool.py
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -13,6 +13,7 @@
 from hemlockhall_router.process.limits import EndpointLimits
 from hemlockhall_router.process.metric import Metrics
 from hemlockhall_router.process.setting import BoundsSection
+from hemlockhall_router.process.statement import EndpointStatements
 from hemlockhall_router.process.timing import Timing
 from hemlockhall_router.version.endpoint import Endpoint
 from hemlockhall_router.version.routing import Accelerator, Model, Service
@@ -64,9 +65,13 @@
 
 def make_limits(directory: Directory) -> EndpointLimits:
     """Return the limits of a host without peers, none at first."""
-    return EndpointLimits(
-        StandinDialect(), directory, NoPeers(), Metrics(), time.monotonic
-    )
+    return EndpointLimits(directory, NoPeers(), Metrics(), time.monotonic)
+
+
+def make_statements(directory: Directory) -> EndpointStatements:
+    """Return the statements of endpoints that a host knows, none at first."""
+    limits = make_limits(directory)
+    return EndpointStatements(StandinDialect(), limits, Metrics(), time.monotonic)
 
 
 def make_chooser(
@@ -110,6 +115,7 @@
     "make_chooser",
     "make_directory",
     "make_limits",
+    "make_statements",
     "add_endpoint",
     "large_model",
     "service",
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -10,7 +10,11 @@
 from hemlockhall_platform.dialect import PlatformDialect
 from hemlockhall_router.connection.message import RequestHead, ResponseHead
 from hemlockhall_router.process.dialect import DecodeError
-from hemlockhall_router.version.endpoint import Endpoint, LayerRange
+from hemlockhall_router.version.endpoint import (
+    Endpoint,
+    EndpointStatement,
+    LayerRange,
+)
 from hemlockhall_router.version.path import Path, Stage
 from hemlockhall_router.version.routing import RouteKind
 
@@ -231,16 +235,61 @@
         assert DIALECT.decode_token_counts(RequestHead(b"POST", b"/", [])) is None
 
 
-class TestRequestLimit:
-    def test_a_decimal_number_is_requests_per_second(self) -> None:
-        head = ResponseHead(200, b"OK", [(b"Server-Limit", b" 1.25")])
-        assert DIALECT.decode_request_limit(head) == 1.25
+def statement(status: int, *headers: tuple[bytes, bytes]) -> EndpointStatement:
+    return DIALECT.decode_statement(ResponseHead(status, b"", list(headers)))
 
-    def test_a_response_without_the_header_states_none(self) -> None:
-        assert DIALECT.decode_request_limit(ResponseHead(200, b"OK", [])) is None
 
-    @pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf"])
-    def test_other_values_are_refused(self, value: bytes) -> None:
-        head = ResponseHead(200, b"OK", [(b"Server-Limit", value)])
-        with pytest.raises(DecodeError, match="send a decimal number"):
-            DIALECT.decode_request_limit(head)
+REJECTED = (b"X-Hemlockhall-Not-Executed", b"1")
+SIGNED = (b"X-Hemlockhall-Server-Stamp", b"s")
+
+
+class TestStatement:
+    def test_a_response_without_the_headers_states_nothing(self) -> None:
+        assert statement(200, SIGNED) == EndpointStatement(executed=True)
+
+    def test_a_decimal_number_is_a_request_limit(self) -> None:
+        assert statement(200, (b"Server-Limit", b" 1.25")).request_limit == 1.25
+
+    @pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf", b"1_0"])
+    def test_other_request_limits_are_refused(self, value: bytes) -> None:
+        found = statement(200, (b"Server-Limit", value))
+        assert found.request_limit is None
+        assert "send a decimal number" in found.errors["request_limit"]
+
+    @pytest.mark.parametrize("headers", [(), (REJECTED,), (SIGNED,)])
+    def test_retry_after_of_a_503_asks_for_rest(self, headers: tuple) -> None:
+        found = statement(503, (b"Retry-After", b"2.5"), *headers)
+        assert found.rest_s == 2.5
+        assert found.rejected
+
+    @pytest.mark.parametrize(
+        ("status", "headers", "rest_s"),
+        [(429, (REJECTED,), 3.0), (429, (SIGNED,), 0.0), (200, (SIGNED,), 0.0)],
+    )
+    def test_retry_after_for_the_caller_asks_for_no_rest(
+        self, status: int, headers: tuple, rest_s: float
+    ) -> None:
+        """Guards against one customer's 429 that keeps an endpoint from all others."""
+        assert statement(status, (b"Retry-After", b"3"), *headers).rest_s == rest_s
+
+    @pytest.mark.parametrize(
+        "value",
+        [b"", b"soon", b"-1", b"nan", b"inf", b"Wed, 21 Oct 2026 07:28:00 GMT"],
+    )
+    def test_a_malformed_retry_after_asks_for_no_rest(self, value: bytes) -> None:
+        found = statement(503, (b"Retry-After", value), (b"Server-Leaving", b"1"))
+        assert found.rest_s == 0.0
+        assert "send a decimal number of seconds" in found.errors["rest"]
+        assert found.leaving
+
+    @pytest.mark.parametrize("status", [200, 404, 500, 503])
+    def test_each_response_of_a_leaving_endpoint_says_so(self, status: int) -> None:
+        assert statement(status, (b"Server-Leaving", b"1")).leaving
+
+    @pytest.mark.parametrize(("value", "errors"), [(b"0", []), (b"no", ["leaving"])])
+    def test_other_values_do_not_say_that_it_leaves(
+        self, value: bytes, errors: list[str]
+    ) -> None:
+        found = statement(200, (b"Server-Leaving", value))
+        assert not found.leaving
+        assert list(found.errors) == errors
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -9,7 +9,7 @@
 # Headers, paths, fields and other names of the platform that must not be used there.
 NAMES = re.compile(
     r"x-hemlockhall|at-server|api/(?:readyz|report|order|rows|blob)"
-    r"|attempt-id|server-stamp|server-limit|hop-count|kvTotal|latencyGoalMs|maxAttempts"
+    r"|attempt-id|server-stamp|server-(?:limit|leaving)|hop-count|kvTotal|latencyGoalMs|maxAttempts"
     r"|HEMLOCKHALL_BOOT|apiKeys|coldLeftMs|rows-tx",
     re.IGNORECASE,
 )
--- a/tests/router/test_prober.py
+++ b/tests/router/test_prober.py
@@ -13,7 +13,7 @@
 from hemlockhall_router.request.active_stream import ActiveStream
 from hemlockhall_router.version.endpoint import Endpoint
 from hemlockhall_standins.router.dialect import StandinDialect
-from hemlockhall_standins.router.pool import make_limits
+from hemlockhall_standins.router.pool import make_statements
 
 SILENCE_LIMIT_S = 0.06
 
@@ -43,7 +43,9 @@
         """Guards against streams that are moved too late because all endpoints of a
         path were probed and the probes queued under load. Events of other streams show
         which endpoints are up."""
-        prober = Prober(StandinDialect(), directory, lambda: 1, make_limits(directory))
+        prober = Prober(
+            StandinDialect(), directory, lambda: 1, make_statements(directory)
+        )
         stream = add_silent_stream(directory)
         now = time.monotonic()
         directory.records["p1"].last_event_at = directory.records[
@@ -56,7 +58,9 @@
     def test_stream_paused_at_live_endpoints_is_checked_again(
         self, directory: Directory
     ) -> None:
-        prober = Prober(StandinDialect(), directory, lambda: 1, make_limits(directory))
+        prober = Prober(
+            StandinDialect(), directory, lambda: 1, make_statements(directory)
+        )
         stream = add_silent_stream(directory)
         now = time.monotonic()
         for record in directory.records.values():
@@ -72,7 +76,9 @@
 class TestLocalStall:
     def test_local_stall_triggers_no_probes(self, directory: Directory) -> None:
         """Guards against endpoints marked as down after this host stalled."""
-        prober = Prober(StandinDialect(), directory, lambda: 1, make_limits(directory))
+        prober = Prober(
+            StandinDialect(), directory, lambda: 1, make_statements(directory)
+        )
         stream = add_silent_stream(directory)
         prober._polled_at -= 10 * SILENCE_LIMIT_S
         prober._detect_stall()
