--- a/packages/standins/src/hemlockhall_standins/router/endpoint.py
+++ b/packages/standins/src/hemlockhall_standins/router/endpoint.py
@@ -64,8 +64,10 @@
         """Respond that the request was not executed."""
         if self.endpoint.rest_s is not None:
             headers += f"rest-s: {self.endpoint.rest_s}\r\n"
-            request_id = self.header("request-id") or ""
-            self.endpoint.rests.append((time.monotonic(), request_id))
+            if isinstance(self.endpoint.rest_s, float):
+                request_id = self.header("request-id") or ""
+                rest = (time.monotonic(), self.endpoint.rest_s, request_id)
+                self.endpoint.rests.append(rest)
         await self.answer(status, headers=f"not-run: 1\r\n{headers}")
 
     async def begin(self) -> None:
@@ -120,8 +122,8 @@
 
     Responses state ``request_limit``, in requests per second, unless it is None, and
     that the endpoint leaves if ``leaving`` is true. Refusals ask for ``rest_s`` seconds
-    of rest unless it is None; ``rests`` has the time of each of them and the id of its
-    request.
+    of rest unless it is None; ``rests`` has the time of each of them, these seconds and
+    the id of its request.
     """
 
     name: str
@@ -135,7 +137,7 @@
     pending_orders: list[OrderRow] = field(default_factory=list)
     request_limit: float | None = None
     rest_s: float | str | None = None
-    rests: list[tuple[float, str]] = field(default_factory=list)
+    rests: list[tuple[float, float, str]] = field(default_factory=list)
     leaving: bool = False
     arrivals: list[float] = field(default_factory=list)
     _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
