Give endpoints the rest that they ask for

Callers saw: requests that took longer or were refused with 503 while other endpoints were idle, as each attempt at an endpoint that rejected it took a retry from the budget of all hosts; the endpoint itself got 6 requests of one host in the 3 s for which it had asked that host for rest (2 allowed).

Cause: no host read Retry-After of an endpoint's 503. For a plain request only this one request left the endpoint out; a stream began a backoff of 0.2 s.

Change: EndpointStatements keeps, by incarnation, the deadline of each rest. It is apart from the backoffs after failures or for want of room, is only ever lengthened, and outlasts an entry that lapses and comes back; a new incarnation or another endpoint at the address does not have it. All sends ask it: the choice of an endpoint or path, each attempt once more after its connection was opened (the statement may come meanwhile; a permit is then given back), and each control call. Resting endpoints that a request would need let it be refused at once with the time at which the first path is possible, spread over 0.5 s; streams of which the caller has events wait. After a rest, which each host lengthens by up to a tenth at random, one request is sent, and two more for each one accepted, until eight were. A refusal that asks for rest no longer counts as a sign that the endpoint drains.

Why it works: nothing is sent to an endpoint between reading the response and the deadline, whatever chose it before, as the check is repeated just before the bytes are written, with no await between.

--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -15,6 +15,7 @@
     utilization,
 )
 from hemlockhall_router.process.limits import NoPermitError
+from hemlockhall_router.process.statement import EndpointsRestingError
 from hemlockhall_router.version.path import EndpointCost, find_path
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
     from hemlockhall_router.policy.data_centre_link import DataCentreLinks
     from hemlockhall_router.process.directory import Directory, EndpointRecord
     from hemlockhall_router.process.limits import EndpointLimits
+    from hemlockhall_router.process.statement import EndpointStatements
     from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.path import Path
     from hemlockhall_router.version.routing import Model, Service
@@ -58,7 +60,9 @@
     host_count : callable
         Returns the number of hosts in this data centre.
     limits : EndpointLimits
-        Says whether a request may be sent to an endpoint.
+        Says whether this host has a permit to send a request to an endpoint.
+    statements : EndpointStatements
+        Says when a request may be sent to an endpoint that asked for rest.
     """
 
     def __init__(
@@ -68,8 +72,10 @@
         data_centre_links: DataCentreLinks,
         host_count: Callable[[], int],
         limits: EndpointLimits,
+        statements: EndpointStatements,
     ) -> None:
         self._limits = limits
+        self._statements = statements
         self._directory = directory
         self._host_count = host_count
         self._data_centre_links = data_centre_links
@@ -77,6 +83,8 @@
         self._path_found_at: dict[str, float] = {}
         self._no_path_deadlines: dict[str, float] = {}
         self._no_permit_deadlines: dict[tuple[str, bool], float] = {}
+        # How long the last result for a service is used, and that result.
+        self._rest_deadlines: dict[str, tuple[float, float]] = {}
         self._started_at = time.monotonic()
 
     def choose_endpoint(
@@ -88,11 +96,18 @@
         ------
         NoPermitError
             If this host has no permit for any of the usable ones.
+        EndpointsRestingError
+            If the others asked for rest.
         """
         best: EndpointRecord | None = None
         least = float("inf")
         without_permit = []
+        resting: dict[str, float] = {}
         for record in self._directory.usable(service):
+            send_at = self._statements.send_at(record.endpoint)
+            if send_at:
+                resting[record.endpoint.id] = send_at
+                continue
             if record.endpoint.id in excluded:
                 continue
             if not self._limits.may_send(record.endpoint):
@@ -107,6 +122,8 @@
                 best, least = record, wait
         if best is None and without_permit:
             raise NoPermitError(without_permit)
+        if best is None and resting:
+            raise EndpointsRestingError(resting, min(resting.values()))
         return best
 
     def choose_path(
@@ -141,6 +158,8 @@
         NoPermitError
             If there are paths, and this host has no permit for the first endpoint of
             any of them.
+        EndpointsRestingError
+            If there are paths, and on each of them an endpoint asked for rest.
         """
         model = service.model
         if model is None:
@@ -148,10 +167,17 @@
         now = time.monotonic()
         if now < self._no_path_deadlines.get(service.name, 0.0):
             return None
+        resting = self._resting_endpoints(service.name)
+        others = excluded.difference(resting)
+        unrestricted = not others and first_endpoint_ids is None
+        if resting and unrestricted:
+            until, send_at = self._rest_deadlines.get(service.name, (0.0, 0.0))
+            if now < until:
+                raise EndpointsRestingError(resting, send_at)
+        excluded = excluded.union(resting)
         without_permit = self._first_endpoints_without_permit(
             service.name, excluded, first_endpoint_ids, resumed=resumed
         )
-        unrestricted = not excluded and first_endpoint_ids is None
         # A search over all endpoints just found none with a permit, so one over some of
         # them would not either.
         cache_key = (service.name, resumed)
@@ -168,12 +194,69 @@
                     self._no_permit_deadlines[cache_key] = now + NO_PATH_BACKOFF_S
                 self._path_found_at[service.name] = now
                 raise NoPermitError(without_permit)
+        if path is None and resting:
+            possible_at = self._path_possible_at(
+                service, model, others, tokens, first_endpoint_ids, resting
+            )
+            if possible_at is not None:
+                if unrestricted:
+                    until = min(possible_at, now + NO_PATH_BACKOFF_S)
+                    self._rest_deadlines[service.name] = (until, possible_at)
+                self._path_found_at[service.name] = now
+                raise EndpointsRestingError(resting, possible_at)
         if path is not None:
             self._path_found_at[service.name] = now
         elif unrestricted:
             self._no_path_deadlines[service.name] = now + NO_PATH_BACKOFF_S
         return path
 
+    def _resting_endpoints(self, service: str) -> dict[str, float]:
+        """Return when requests may be sent to those that asked for rest, by id."""
+        if not self._statements.any_resting:
+            return {}
+        found = {}
+        for record in self._directory.usable(service):
+            send_at = self._statements.send_at(record.endpoint)
+            if send_at:
+                found[record.endpoint.id] = send_at
+        return found
+
+    def _path_possible_at(
+        self,
+        service: Service,
+        model: Model,
+        excluded: set[str],
+        tokens: int,
+        first_endpoint_ids: frozenset[str] | None,
+        resting: dict[str, float],
+    ) -> float | None:
+        """Return the time at which enough endpoints have rested for a path, or None.
+
+        ``resting`` has the time at which each of them may get requests, by id.
+        """
+        times = sorted(set(resting.values()))
+        found = None
+        first, end = 0, len(times)
+        while first < end:
+            # Without a path at the last time there is none at any other.
+            middle = end - 1 if found is None else (first + end) // 2
+            still_resting = {key for key in resting if resting[key] > times[middle]}
+            path = self._find(
+                service,
+                model,
+                excluded | still_resting,
+                tokens,
+                first_endpoint_ids,
+                (),
+            )
+            if path is not None:
+                found, end = times[middle], middle
+            elif found is None:
+                return None
+            else:
+                first = middle + 1
+        return found
+
     def _first_endpoints_without_permit(
         self,
         service: str,
--- a/packages/router/src/hemlockhall_router/process/limits.py
+++ b/packages/router/src/hemlockhall_router/process/limits.py
@@ -70,6 +70,17 @@
         self.endpoints = endpoints
 
 
+@dataclass(slots=True)
+class Permit:
+    """A permit that was taken to send one request; ``limited`` is None without a limit.
+
+    It expires at ``expires_at`` of the shared clock.
+    """
+
+    limited: _Limited | None = None
+    expires_at: float = 0.0
+
+
 class Peers(Protocol):
     """What the other hosts make known; implemented by ``Membership``."""
 
@@ -224,16 +235,23 @@
             return True
         return self._usable_permits(limited) > (0 if resumed else len(self._waiting))
 
-    def try_acquire(self, endpoint: Endpoint) -> bool:
-        """Take a permit, if the endpoint has a limit; return False if none is left."""
+    def try_acquire(self, endpoint: Endpoint) -> Permit | None:
+        """Take a permit, if the endpoint has a limit; return None if none is left."""
         limited = self._limited.get(_key(endpoint)) if self._limited else None
         if limited is None:
-            return True
+            return Permit()
         if not self._usable_permits(limited):
-            return False
-        limited.permits.popleft()
+            return None
         limited.sent_at.append(self._peers.shared_clock.now())
-        return True
+        return Permit(limited, limited.permits.popleft())
+
+    def give_back(self, permit: Permit) -> None:
+        """Return a permit with which no request was sent."""
+        if permit.limited is None:
+            return
+        permit.limited.permits.appendleft(permit.expires_at)
+        if permit.limited.sent_at:
+            permit.limited.sent_at.pop()
 
     def promise_permit_s(self, endpoints: Iterable[Endpoint]) -> float:
         """Return the seconds after which to tell a caller to come back.
@@ -450,4 +468,5 @@
 __all__ = [
     "EndpointLimits",
     "NoPermitError",
+    "Permit",
 ]
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -249,6 +249,8 @@
         """Return whether an endpoint can take no other order now."""
         if endpoint.incarnation in self._pending:
             return True
+        if not self._prober.may_call(endpoint):
+            return True
         return now < self._backoff_deadlines.get(endpoint.id, 0.0)
 
     async def _run_order(
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from hemlockhall_router.connection.client import ClientConnection
-from hemlockhall_router.connection.error import TransportError
+from hemlockhall_router.connection.error import NotSentError, TransportError
 from hemlockhall_router.connection.message import encode_request
 from hemlockhall_router.process.dialect import DecodeError
 
@@ -52,6 +52,10 @@
 MIN_ROUND_PROBES = 4
 
 
+class CallWithheldError(NotSentError):
+    """An endpoint was not called, as it asked for rest."""
+
+
 class Prober:
     """Probes endpoints of silent streams, and those that are down or slow.
 
@@ -91,7 +95,7 @@
         )
         for endpoint_id in endpoint_ids:
             record = self._directory.records.get(endpoint_id)
-            if record is None or record.replaced:
+            if record is None or record.replaced or not self.may_call(record.endpoint):
                 continue
             if now - record.probed_at < interval_s:
                 continue
@@ -160,7 +164,9 @@
             1.0, self._host_count() / HOSTS_PER_PROBE_INTERVAL
         )
         for endpoint_id, record in self._directory.records.items():
-            if record.unhealthy and now - record.probed_at >= interval_s:
+            if not record.unhealthy or not self.may_call(record.endpoint):
+                continue
+            if now - record.probed_at >= interval_s:
                 record.probed_at = now
                 due.append(endpoint_id)
         return due
@@ -198,6 +204,8 @@
         deadline = began + timeout_s
         try:
             report = await self.fetch_report(record.endpoint, timeout_s)
+        except CallWithheldError:
+            return
         except TransportError:
             late = time.monotonic() - deadline >= STALL_S
             if not late and self._reading_since < began:
@@ -215,8 +223,9 @@
     ) -> EndpointReport:
         """Return an endpoint's report of its state.
 
-        Raises ``TransportError`` if it does not respond within ``timeout_s`` seconds,
-        ``DecodeError`` if the response holds no report.
+        Raises ``CallWithheldError`` if the endpoint asked for rest, ``TransportError``
+        if it does not respond within ``timeout_s`` seconds, ``DecodeError`` if the
+        response holds no report.
         """
         deadline = time.monotonic() + timeout_s
         response = await self.call(endpoint, self._dialect.report_call(), deadline)
@@ -224,16 +233,27 @@
             raise DecodeError(f"status {response.head.status}")
         return self._dialect.decode_report(response.body)
 
+    def may_call(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may be called now."""
+        return self._statements.may_call(endpoint)
+
+    def _check_call(self, endpoint: Endpoint) -> None:
+        if not self.may_call(endpoint):
+            raise CallWithheldError(f"{endpoint.id} asked for rest")
+
     async def call(
         self, endpoint: Endpoint, call: EndpointCall, deadline: float
     ) -> Response:
         """Call an endpoint's control API on a new connection.
 
-        Raises ``TransportError`` if no whole response arrives by ``deadline``.
+        Raises ``CallWithheldError`` if the endpoint asked for rest, and
+        ``TransportError`` if no whole response arrives by ``deadline``.
         """
+        self._check_call(endpoint)
         host, port = endpoint.address
         conn = await ClientConnection.open(host, port, deadline)
         try:
+            self._check_call(endpoint)
             headers = [(b"Host", f"{host}:{port}".encode()), *call.headers]
             data = encode_request(call.method, call.target, headers, call.body)
             self._statements.record_sent([endpoint])
@@ -246,5 +266,6 @@
 
 
 __all__ = [
+    "CallWithheldError",
     "Prober",
 ]
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -150,6 +150,7 @@
             data_centre_links,
             self.membership.local_host_count,
             self.limits,
+            self.statements,
         )
         self._pool = ConnectionPool()
         context = RelayContext(
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -22,6 +22,7 @@
     RoutedRequest,
     encode_upstream_request,
 )
+from hemlockhall_router.version.endpoint import EndpointStatement
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -58,6 +59,7 @@
         self._sent_at = 0.0
         self.path = path
         self.head: ResponseHead | None = None
+        self._statement = EndpointStatement()
         self.active_stream = ActiveStream(
             self.endpoint_ids,
             timeouts.first_event_silence_limit_s,
@@ -86,16 +88,25 @@
         Raises
         ------
         AttemptFailedError
-            If this host has no permit for the endpoint, or the endpoint cannot be
-            reached, refuses, fails, or sends no head in time.
+            If this host has no permit for the endpoint, or one on the path asked for
+            rest, or the endpoint cannot be reached, refuses, fails, or sends no head in
+            time.
         MoveRequestedError
             If the stream was asked to move meanwhile.
         """
-        if not self._context.limits.try_acquire(self.path.first_endpoint):
+        limits, statements = self._context.limits, self._context.statements
+        permit = limits.try_acquire(self.path.first_endpoint)
+        if permit is None:
             raise AttemptFailedError(
                 RetryReason.NO_PERMIT, "no permit is left", may_have_run=False
             )
-        await self._connect()
+        try:
+            await self._connect()
+            # An endpoint may have asked for rest while the connection was opened.
+            statements.check_send(self.path.endpoints)
+        except AttemptFailedError:
+            limits.give_back(permit)
+            raise
         self._in_flight.start()
         self._record_transfers()
         data = encode_upstream_request(
@@ -106,9 +117,7 @@
             resume_after,
         )
         self._sent_at = time.monotonic()
-        self._context.statements.record_sent(
-            stage.endpoint for stage in self.path.stages
-        )
+        statements.record_sent(self.path.endpoints)
         with self._translate_errors():
             assert self._conn is not None
             await self._conn.send(data, self._request.deadline)
@@ -212,7 +221,9 @@
             head = await self.active_stream.wait(self._conn.read_head, deadline)
             echoed = head.header(name)
             if echoed is None or echoed == self._request.id:
-                self._context.statements.record_response(self.path.first_endpoint, head)
+                self._statement = self._context.statements.record_response(
+                    self.path.first_endpoint, head
+                )
                 return head
             # Skip a late response to an earlier request on this connection.
             while await self._conn.read_chunk(deadline) is not None:
@@ -248,6 +259,7 @@
             raise AttemptFailedError(
                 RetryReason.REJECTED, cause, may_have_run=False, suspects=suspects
             )
+        self._context.statements.record_accepted(self.path.endpoints)
         if head.status >= 300:
             raise AttemptFailedError(
                 RetryReason.FAILED, f"status {head.status}", may_have_run=True
@@ -267,8 +279,10 @@
         """Record which endpoint on the path refused the request; return its id.
 
         If the response names none on the path, nothing is recorded and the id of the
-        first endpoint is returned.
+        first endpoint is returned. A rest that the response asks for holds for the
+        endpoint that it names as well as for the first one, which sent it.
         """
+        asks_for_rest = self._statement.rest_s > 0
         failed_address = decode_value(
             head.header(self._context.dialect.headers.failed_endpoint) or b""
         )
@@ -279,7 +293,12 @@
             endpoint_id = stage.endpoint.id
             if head.status == SERVICE_UNAVAILABLE:
                 self._context.directory.record_busy(endpoint_id)
-                self._context.directory.record_refusal(endpoint_id)
+                if not asks_for_rest:
+                    self._context.directory.record_refusal(endpoint_id)
+                elif stage.endpoint != self.path.first_endpoint:
+                    self._context.statements.record_rest(
+                        stage.endpoint, self._statement
+                    )
             else:
                 self._context.directory.record_failure(
                     endpoint_id, f"status {head.status}"
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -14,6 +14,7 @@
     TransportError,
 )
 from hemlockhall_router.process.limits import NoPermitError
+from hemlockhall_router.process.statement import EndpointsRestingError
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
 from hemlockhall_router.request.reason import (
     UNSENT_REASONS,
@@ -75,6 +76,13 @@
                 retry_after_s = self._context.limits.promise_permit_s(exc.endpoints)
                 await self._give_up(RefusalReason.NO_PERMIT, retry_after_s)
                 return
+            except EndpointsRestingError as exc:
+                retry_after_s = self._context.statements.retry_after_s(exc.deadline)
+                if self._attempted_ids - exc.endpoint_ids:
+                    # Others have no room at present.
+                    retry_after_s = min(RETRY_AFTER_FULL_S, retry_after_s)
+                await self._give_up(RefusalReason.RESTING, retry_after_s)
+                return
             if record is None or request.remaining_s <= 0:
                 await self._give_up(RefusalReason.NO_ENDPOINT)
                 return
@@ -122,7 +130,8 @@
     async def _run_attempt(self, record: EndpointRecord) -> Response:
         request, context = self._request, self._context
         endpoint = record.endpoint
-        if not context.limits.try_acquire(endpoint):
+        permit = context.limits.try_acquire(endpoint)
+        if permit is None:
             raise AttemptFailedError(
                 RetryReason.NO_PERMIT, "no permit is left", may_have_run=False
             )
@@ -136,10 +145,18 @@
                 host, port = endpoint.address
                 conn = await ClientConnection.open(host, port, connect_deadline)
         except NotSentError as exc:
+            context.limits.give_back(permit)
             context.directory.record_failure(endpoint.id, str(exc))
             raise AttemptFailedError(
                 RetryReason.NOT_SENT, str(exc), may_have_run=False
             ) from exc
+        try:
+            # The endpoint may have asked for rest while the connection was opened.
+            context.statements.check_send([endpoint])
+        except AttemptFailedError:
+            context.limits.give_back(permit)
+            await conn.close()
+            raise
         started = time.monotonic()
         try:
             with InFlightTracker(context.directory, [endpoint.id]):
@@ -207,6 +224,7 @@
             raise AttemptFailedError(
                 RetryReason.REJECTED, f"status {status}", may_have_run=False
             )
+        self._context.statements.record_accepted([record.endpoint])
         if response.head.header(b"content-encoding") is not None:
             raise AttemptFailedError(
                 RetryReason.FAILED,
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -14,8 +14,9 @@
     ``UNCERTAIN`` and ``TIMEOUT`` mean that the request may have run, or that a stream
     ended after its first event. ``DEADLINE`` means that the time of the request was
     over before it ran, ``NO_PERMIT`` that all endpoints that could receive it have a
-    request limit and this host had no permit, ``ENDPOINTS_FULL`` that no endpoint
-    executed it although some were tried. A resumable stream that may have run without
+    request limit and this host had no permit, ``RESTING`` that endpoints asked for rest
+    and no other could receive it, ``ENDPOINTS_FULL`` that no endpoint executed it
+    although some were tried. A resumable stream that may have run without
     an event for the caller counts as ``ENDPOINTS_FULL``, or as ``RETRY_BUDGET`` if that
     was exhausted.
     """
@@ -27,6 +28,7 @@
     NO_ENDPOINT = "no_endpoint"
     NO_PATH = "no_path"
     NO_PERMIT = "no_permit"
+    RESTING = "resting"
     ENDPOINTS_FULL = "endpoints_full"
     RETRY_BUDGET = "retry_budget"
     DEADLINE = "deadline"
@@ -42,7 +44,8 @@
     is a lost connection or a stream that ended early, ``SILENT`` a missing response
     or event, ``FAILED`` a response that is an error or cannot be relayed. ``STAYED``
     counts moves that failed: the stream stayed on its path. ``NO_PERMIT`` means that
-    the request was not sent, as another one took the last permit for the endpoint.
+    the request was not sent, as another one took the last permit for the endpoint, and
+    ``RESTING`` that it was not sent, as the endpoint asked for rest meanwhile.
     """
 
     NOT_SENT = "not_sent"
@@ -53,14 +56,18 @@
     MOVED = "moved"
     STAYED = "stayed"
     NO_PERMIT = "no_permit"
+    RESTING = "resting"
 
 
+# Reasons of attempts in which this host decided not to send the request.
+WITHHELD_REASONS = frozenset((RetryReason.NO_PERMIT, RetryReason.RESTING))
 # Reasons of attempts in which no request was sent.
-UNSENT_REASONS = frozenset((RetryReason.NOT_SENT, RetryReason.NO_PERMIT))
+UNSENT_REASONS = WITHHELD_REASONS | {RetryReason.NOT_SENT}
 
 
 __all__ = [
     "UNSENT_REASONS",
     "RefusalReason",
     "RetryReason",
+    "WITHHELD_REASONS",
 ]
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from hemlockhall_router.process.limits import NoPermitError
+from hemlockhall_router.process.statement import EndpointsRestingError
 from hemlockhall_router.request.active_stream import MoveRequestedError
 from hemlockhall_router.request.attempt import Attempt
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
@@ -19,6 +20,7 @@
 )
 from hemlockhall_router.request.reason import (
     UNSENT_REASONS,
+    WITHHELD_REASONS,
     RefusalReason,
     RetryReason,
 )
@@ -48,6 +50,8 @@
 # Longest time between two searches of a stream that waits for a permit. Other endpoints
 # may be usable again meanwhile.
 PERMIT_WAIT_S = 0.5
+# Longest time between two searches of a stream that waits for endpoints that rest.
+REST_WAIT_S = 0.5
 # Timeout of a move of a stream that is still served, as a multiple of the
 # maximum event gap. After it the stream stays on its path.
 MOVE_TIMEOUT_FACTOR = 1.0
@@ -77,8 +81,10 @@
         self._may_have_run = False
         self._had_unexecuted_attempt = False
         self._retries_exhausted = False
-        # Endpoints for which only a permit was missing in the last search for a path.
+        # Why the last search found no path: endpoints for which only a permit was
+        # missing, and endpoints that asked for rest.
         self._without_permit: list[Endpoint] = []
+        self._resting: EndpointsRestingError | None = None
         self._excluded_ids: set[str] = set()
         # Attempts sent, without the one in progress; every attempt to move counts.
         self._attempts_sent = 0
@@ -264,7 +270,7 @@
         self._excluded_ids.update(exc.suspects)
         if exc.reason not in UNSENT_REASONS:
             self._attempts_sent += 1
-        elif exc.reason is RetryReason.NO_PERMIT and self._attempts_sent:
+        elif exc.reason in WITHHELD_REASONS and self._attempts_sent:
             # Nothing was sent, so the retry that was taken is used by the next attempt.
             self._retry_acquired = True
         if exc.may_have_run:
@@ -292,7 +298,7 @@
             path = self._choose_path(self._excluded_ids, first_endpoint_ids)
             if path is not None:
                 return path
-            if self._only_a_permit_is_missing():
+            if self._may_refuse_at_once():
                 return None
             if time.monotonic() >= deadline:
                 path = self._choose_path(set(), first_endpoint_ids)
@@ -308,8 +314,9 @@
     def _choose_path(
         self, excluded: set[str], first_endpoint_ids: frozenset[str] | None
     ) -> Path | None:
-        """Return a path, or None if there is none that this host has a permit for."""
+        """Return a path, or None if there is none that may be used now."""
         self._without_permit = []
+        self._resting = None
         try:
             return self._context.chooser.choose_path(
                 self._request.service,
@@ -320,13 +327,21 @@
             )
         except NoPermitError as exc:
             self._without_permit = exc.endpoints
-            return None
+        except EndpointsRestingError as exc:
+            self._resting = exc
+        return None
+
+    def _may_refuse_at_once(self) -> bool:
+        """Return whether to refuse a new request without any wait.
 
-    def _only_a_permit_is_missing(self) -> bool:
-        """Return whether to refuse a new request without any wait."""
-        if self._writer.started or self._excluded_ids:
+        It is known then when the request can be served. Endpoints that failed the
+        request may be back sooner.
+        """
+        if self._writer.started:
             return False
-        return bool(self._without_permit)
+        if self._resting is not None:
+            return self._excluded_ids <= self._resting.endpoint_ids
+        return bool(self._without_permit) and not self._excluded_ids
 
     async def _wait_for_path(self, seconds: float, deadline: float) -> None:
         """Wait before the next search for a path, for a permit if that is missing.
@@ -334,6 +349,9 @@
         From ``deadline`` on endpoints that failed the request are searched too, so a
         stream that still has no permit then waits longer between two searches.
         """
+        if self._resting is not None:
+            rest_s = self._resting.deadline - time.monotonic()
+            seconds = max(seconds, min(rest_s, REST_WAIT_S))
         if not self._without_permit:
             await anyio.sleep(seconds)
             return
@@ -347,11 +365,12 @@
         A new request stops once there has been no path for
         ``PATH_RESTORE_WAIT_S``. A stream of which the caller has events waits
         until its deadline, since giving it up would lose them. A request for which
-        only a permit is missing does not wait: the caller is told when to come back.
+        only a permit is missing, or for which endpoints rest, does not wait: the caller
+        is told when to come back.
         """
         if self._writer.started:
             return False
-        if self._without_permit:
+        if self._without_permit or self._resting is not None:
             return True
         return (
             self._context.chooser.seconds_since_path_found(self._request.service.name)
@@ -429,6 +448,8 @@
             refusal = RefusalReason.RETRY_BUDGET
         elif self._without_permit and not expired:
             refusal = RefusalReason.NO_PERMIT
+        elif self._resting is not None and not expired:
+            refusal = RefusalReason.RESTING
         elif self._had_unexecuted_attempt or self._may_have_run:
             refusal = RefusalReason.ENDPOINTS_FULL
         else:
@@ -458,6 +479,11 @@
         )
         if refusal is RefusalReason.NO_PERMIT:
             retry_after_s = self._context.limits.promise_permit_s(self._without_permit)
+        elif refusal is RefusalReason.RESTING:
+            assert self._resting is not None
+            retry_after_s = self._context.statements.retry_after_s(
+                self._resting.deadline
+            )
         await writer.local_reply(503, "no path can take the request", retry_after_s)
 
 
--- a/packages/router/src/hemlockhall_router/version/path.py
+++ b/packages/router/src/hemlockhall_router/version/path.py
@@ -62,6 +62,11 @@
         """The endpoint that receives the request."""
         return self.stages[0].endpoint
 
+    @property
+    def endpoints(self) -> list[Endpoint]:
+        """The endpoints of the stages."""
+        return [stage.endpoint for stage in self.stages]
+
     def uses(self, endpoint_id: str) -> bool:
         """Return whether an endpoint is on the path."""
         return any(stage.endpoint.id == endpoint_id for stage in self.stages)
--- a/packages/standins/src/hemlockhall_standins/router/endpoint.py
+++ b/packages/standins/src/hemlockhall_standins/router/endpoint.py
@@ -119,6 +119,7 @@
     ``unanswered_orders`` orders get no response; ``apply_pending_orders`` applies
     them. ``disconnects`` counts callers that closed their connection early, and
     ``arrivals`` are the monotonic times at which requests to the handler arrived.
+    ``calls`` counts the requests that are served without the handler.
 
     Responses state ``request_limit``, in requests per second, unless it is None, and
     that the endpoint leaves if ``leaving`` is true. Refusals ask for ``rest_s`` seconds
@@ -133,6 +134,7 @@
     orders: list[OrderRow] = field(default_factory=list)
     state: ReportRow = field(default_factory=ReportRow)
     disconnects: int = 0
+    calls: int = 0
     unanswered_orders: int = 0
     pending_orders: list[OrderRow] = field(default_factory=list)
     request_limit: float | None = None
@@ -180,6 +182,8 @@
             return False
         body = await reader.read_body(float("inf"))
         request = ReceivedRequest(head, body, stream, reader, self)
+        if head.target in (b"/state", b"/hold"):
+            self.calls += 1
         if head.target == b"/state":
             await request.answer(body=msgspec.json.encode(self.state))
         elif head.target == b"/hold":
--- a/packages/standins/src/hemlockhall_standins/router/limited.py
+++ b/packages/standins/src/hemlockhall_standins/router/limited.py
@@ -45,7 +45,7 @@
         host.limits.record_request()
         if not host.limits.may_send(self.endpoint):
             return False
-        if not host.limits.try_acquire(self.endpoint):
+        if host.limits.try_acquire(self.endpoint) is None:
             return False
         if not self.reachable(host):
             return False
--- a/packages/standins/src/hemlockhall_standins/router/pool.py
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -80,9 +80,10 @@
     links: DataCentreLinks,
     host_count: Callable[[], int],
 ) -> Chooser:
-    """Return the chooser of a host, without limits of endpoints."""
+    """Return the chooser of a host to which no endpoint has stated anything."""
     limits = make_limits(directory)
-    return Chooser(directory, data_centre, links, host_count, limits)
+    statements = make_statements(directory)
+    return Chooser(directory, data_centre, links, host_count, limits, statements)
 
 
 def make_directory() -> Directory:
