Send nothing to endpoints whose responses state that they leave

Requests sent long after such a response still reached the endpoint, which ends soon, and its streams are cut.

Cause: whether an endpoint leaves was known from its entry in the store, or guessed from refusals and reports for 2 s. The header that says so in each response was passed on unread.

Change: a record has one notion of leaving: its entry says draining, or until leaving_deadline, which is infinite once the endpoint itself stated it and near while it is presumed. Statements are kept apart from the records, by key and start, so that an entry that is written anew, has a higher count, or lapses and comes back does not undo them; a new incarnation does not have them. Its streams move as with a draining entry. Hosts tell each other, at most 16 endpoints a message, in turns, while the store does not say it. What was chosen before is checked again before the bytes are sent, for requests and orders.

Why it works: the statement is recorded when the head of the response is read, before the response is passed on, and every send asks the record.

No caller is refused while other endpoints are there.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -17,6 +17,7 @@
     DataCentre,
     Digest,
     LayerUpdate,
+    LeavingNotice,
     Load,
     Message,
     Report,
@@ -72,6 +73,7 @@
     usage: list[RetryUsage] = field(default_factory=list)
     demand: int = 0
     limits: list[RequestLimit] = field(default_factory=list)
+    leaving_endpoints: list[LeavingNotice] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -319,6 +321,7 @@
             usage=state.usage,
             clock_ms=self.shared_clock.now_ms(),
             limits=state.limits,
+            leaving=state.leaving_endpoints,
         )
 
     def _build_digest(self, report: Report, now: float) -> Digest:
@@ -345,6 +348,7 @@
             data_centres=self._known_data_centres(now),
             clock_ms=self.shared_clock.now_ms(),
             limits=state.limits,
+            leaving=state.leaving_endpoints,
         )
 
     def _send_summaries(self, now: float) -> None:
@@ -375,6 +379,7 @@
                     data_centre=data_centre,
                     clock_ms=self.shared_clock.now_ms(),
                     limits=self._local_state.limits,
+                    leaving=self._local_state.leaving_endpoints,
                 )
                 self._send(contact.address, message)
 
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -47,6 +47,7 @@
     from hemlockhall_router.membership.message import (
         Contact,
         LayerUpdate,
+        LeavingNotice,
         Load,
         RequestLimit,
         RetryUsage,
@@ -105,6 +106,8 @@
         Called with layers of endpoints that are newer than their store entries.
     on_limits : callable
         Called with the request limits of endpoints that another host knows.
+    on_leaving : callable
+        Called with endpoints that stated to another host that they leave.
     metrics : Metrics
         Counts dropped messages.
     """
@@ -120,6 +123,7 @@
         on_presumed_draining: Callable[[list[int]], None],
         on_layer_updates: Callable[[list[LayerUpdate]], None],
         on_limits: Callable[[list[RequestLimit]], None],
+        on_leaving: Callable[[list[LeavingNotice]], None],
         metrics: Metrics,
     ) -> None:
         self._own = own
@@ -129,6 +133,7 @@
         self._on_presumed_draining = on_presumed_draining
         self._on_layer_updates = on_layer_updates
         self._on_limits = on_limits
+        self._on_leaving = on_leaving
         self._metrics = metrics
         self._exchange = Exchange(
             own,
@@ -339,6 +344,8 @@
                 self._on_layer_updates(message.layer_updates)
             if message.limits:
                 self._on_limits(message.limits)
+            if message.leaving:
+                self._on_leaving(message.leaving)
             self._fetch_newer(message)
 
     def _drop(self, cause: str) -> None:
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -117,6 +117,16 @@
     stated_at_ms: int
 
 
+class LeavingNotice(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint that stated in a response that it shuts down.
+
+    ``started_ms`` identifies the run of its process.
+    """
+
+    endpoint: int
+    started_ms: int
+
+
 class DataCentre(msgspec.Struct, frozen=True, array_like=True):
     """Aggregated state of the hosts of a data centre.
 
@@ -147,9 +157,9 @@
     if draining, without a notice in the store, ``layer_updates`` layers that are newer
     than the entry in the store, and ``contacts`` hosts that the receiver may not know.
 
-    All kinds of messages end with ``clock_ms``, the sender's shared clock, and
-    ``limits``, the request limits of endpoints. A host of an older version does not
-    send these two.
+    All kinds of messages end with ``clock_ms``, the sender's shared clock, ``limits``,
+    the request limits of endpoints, and ``leaving``, endpoints that shut down without a
+    notice in the store. A host of an older version does not send these three.
     """
 
     protocol: int = PROTOCOL_VERSION
@@ -170,6 +180,7 @@
     usage: list[RetryUsage] = []
     clock_ms: int = 0
     limits: list[RequestLimit] = []
+    leaving: list[LeavingNotice] = []
 
 
 class Digest(Message, frozen=True, array_like=True, kw_only=True, tag="digest"):
@@ -182,6 +193,7 @@
     data_centres: list[DataCentre]
     clock_ms: int = 0
     limits: list[RequestLimit] = []
+    leaving: list[LeavingNotice] = []
 
 
 class Summary(Message, frozen=True, array_like=True, kw_only=True, tag="summary"):
@@ -190,6 +202,7 @@
     data_centre: DataCentre
     clock_ms: int = 0
     limits: list[RequestLimit] = []
+    leaving: list[LeavingNotice] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -248,6 +261,7 @@
     "TableVersion",
     "Digest",
     "LayerUpdate",
+    "LeavingNotice",
     "Load",
     "Message",
     "MessageError",
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -9,14 +9,19 @@
 
 from loguru import logger
 
-from hemlockhall_router.membership.message import LayerUpdate, Load, endpoint_key
+from hemlockhall_router.membership.message import (
+    LayerUpdate,
+    LeavingNotice,
+    Load,
+    endpoint_key,
+)
 from hemlockhall_router.membership.tally import MAX_EVENT_AGE_MS
 from hemlockhall_router.process.addresses import AddressTable
 from hemlockhall_router.process.replica_index import ReplicaIndex
 from hemlockhall_router.version.endpoint import LayerRange
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from hemlockhall_router.process.store import Row
     from hemlockhall_router.process.timing import Timing
@@ -55,6 +60,11 @@
 # Time for which an incarnation without an entry may still run: as long as any stream
 # lasts.
 REMOVED_RUNNING_S = 30.0
+# Time for which it is remembered that an endpoint stated that it leaves, after the last
+# word of it: longer than one keeps running.
+STATED_LEAVING_TTL_S = 600.0
+# Endpoints that leave in one message. Those beyond it are sent in later messages.
+MAX_NOTICES = 16
 # Load of an endpoint of which no other host reports any.
 NO_LOAD = Load(0, 0, 0, 0, MAX_EVENT_AGE_MS)
 # Latency assumed of an endpoint that has not responded yet.
@@ -78,7 +88,9 @@
     ``key`` is the endpoint's number in messages between hosts. ``entry_grace_deadline``
     is set while the store has no entry of the endpoint, which may come back until
     then. ``ahead_of_store`` is True if the layers are newer than the store's entry, and
-    ``replaced`` if another incarnation has taken the address.
+    ``replaced`` if another incarnation has taken the address. Until
+    ``leaving_deadline`` the endpoint counts as leaving whatever its entry says:
+    infinite once it stated that in a response, else as long as it is presumed to drain.
     ``presumed_draining_here`` is True if this host detected it, not another one.
     ``last_event_at`` is the time of the last event through the endpoint at any host,
     ``last_local_event_at`` at this host.
@@ -102,7 +114,7 @@
     next_move_deadline: float | None = None
     key: int = 0
     refused_at: float = float("-inf")
-    presumed_draining_deadline: float = 0.0
+    leaving_deadline: float = 0.0
     presumed_draining_here: bool = False
     layers_changed_at: float = field(default_factory=time.monotonic)
     ahead_of_store: bool = False
@@ -142,18 +154,23 @@
         self.backoff_deadline = 0.0
         self.down = False
         self.slowdown = 1.0
-        self.presumed_draining_deadline = 0.0
+        self.leaving_deadline = 0.0
         self.replaced = False
 
+    def leaving(self, now: float) -> bool:
+        """Return whether it shuts down and so takes no new requests.
+
+        Its entry or a response says so, or it is presumed to drain.
+        """
+        return self.endpoint.draining or now < self.leaving_deadline
+
     def presumed_draining(self, now: float) -> bool:
-        """Return whether it is presumed to drain without a notice in the store."""
-        return now < self.presumed_draining_deadline
+        """Return whether it is presumed to drain without a notice of its own."""
+        return now < self.leaving_deadline < float("inf")
 
     def usable(self, now: float) -> bool:
         """Return whether it may receive a new request."""
-        if self.endpoint.draining or self.replaced:
-            return False
-        if self.down or self.presumed_draining(now):
+        if self.down or self.replaced or self.leaving(now):
             return False
         return now >= self.backoff_deadline
 
@@ -163,10 +180,11 @@
 
     ``version`` grows when rows or layer updates are applied, a lapsed endpoint is
     removed, a backoff begins, an endpoint goes down or up, a report shows a restart or
-    changes the layers, order count or slowdown, and when this host presumes an endpoint
-    to be draining. It does not grow when a backoff ends or another host presumes an
-    endpoint to be draining. ``generation`` grows when an endpoint is added, removed, or
-    has a new start or address according to its store entry.
+    changes the layers, order count or slowdown, when an endpoint states that it leaves,
+    and when this host presumes an endpoint to be draining. It does not grow when a
+    backoff ends or another host presumes an endpoint to be draining. ``generation``
+    grows when an endpoint is added, removed, or has a new start or address according to
+    its store entry.
 
     Parameters
     ----------
@@ -196,6 +214,10 @@
         self._removed_with_streams: list[EndpointRecord] = []
         self._addresses = AddressTable()
         self._removed_running_deadlines: dict[tuple[str, int], float] = {}
+        # Endpoints that stated that they leave, and how long that is remembered. They
+        # are kept apart from the records, as entries may lapse and come back.
+        self._stated_leaving: dict[LeavingNotice, float] = {}
+        self._notice_offset = 0
 
     def apply_rows(self, rows: list[Row]) -> None:
         """Apply changed rows of the endpoint table."""
@@ -214,6 +236,7 @@
         record = EndpointRecord(endpoint, key=endpoint_key(endpoint.id))
         self.records[endpoint.id] = record
         self.generation += 1
+        self._apply_stated_leaving(record)
         return record
 
     def _upsert(self, endpoint: Endpoint) -> None:
@@ -248,6 +271,7 @@
             self.generation += 1
         record.endpoint = self._merge_layers(record, endpoint)
         if restarted:
+            self._apply_stated_leaving(record)
             self._claim_address(record)
         if restarted or record.endpoint.layers != old.layers:
             record.layers_changed_at = time.monotonic()
@@ -371,6 +395,9 @@
         for incarnation in list(self._removed_running_deadlines):
             if now >= self._removed_running_deadlines[incarnation]:
                 del self._removed_running_deadlines[incarnation]
+        for notice in list(self._stated_leaving):
+            if now >= self._stated_leaving[notice]:
+                del self._stated_leaving[notice]
 
     def may_still_run(self, endpoint: Endpoint) -> bool:
         """Return whether this incarnation of an endpoint may still be running.
@@ -396,14 +423,12 @@
         return found
 
     def live_endpoints(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service that are up and not draining."""
+        """Return the endpoints of a service that are up and not leaving."""
         now = time.monotonic()
         found = []
         for record in self.replica_index.records(service):
             endpoint = record.endpoint
-            if endpoint.draining:
-                continue
-            if record.down or record.replaced or record.presumed_draining(now):
+            if record.down or record.replaced or record.leaving(now):
                 continue
             found.append(endpoint)
         return found
@@ -465,7 +490,9 @@
             # It is full, or reports no memory.
             return
         record.refused_at = float("-inf")
-        record.presumed_draining_deadline = now + PRESUMED_DRAINING_S
+        record.leaving_deadline = max(
+            record.leaving_deadline, now + PRESUMED_DRAINING_S
+        )
         record.presumed_draining_here = True
         logger.warning(
             "endpoint seems to leave",
@@ -481,9 +508,7 @@
         known = set(keys)
         for record in self.records.values():
             if record.key in known:
-                record.presumed_draining_deadline = max(
-                    record.presumed_draining_deadline, deadline
-                )
+                record.leaving_deadline = max(record.leaving_deadline, deadline)
 
     def presumed_draining_keys(self) -> list[int]:
         """Return the keys of endpoints that this host presumes to be draining."""
@@ -497,6 +522,79 @@
                 found.append(record.key)
         return found
 
+    def record_leaving(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint stated in a response that it leaves.
+
+        That holds for this incarnation whatever its entry in the store says before or
+        after.
+        """
+        notice = LeavingNotice(endpoint_key(endpoint.id), endpoint.started_ms)
+        self._record_stated_leaving([notice], "response")
+
+    def apply_leaving(self, notices: list[LeavingNotice]) -> None:
+        """Apply another host's list of endpoints that stated that they leave."""
+        self._record_stated_leaving(notices, "host")
+
+    def leaving_notices(self) -> list[LeavingNotice]:
+        """Return which endpoints to tell other hosts of, at most ``MAX_NOTICES``.
+
+        They stated that they leave, and their entries in the store do not say it. If
+        there are more, the next call returns the next ones.
+        """
+        if not self._stated_leaving:
+            return []
+        found = []
+        for record in self.records.values():
+            notice = LeavingNotice(record.key, record.endpoint.started_ms)
+            if notice in self._stated_leaving and not record.endpoint.draining:
+                found.append(notice)
+        if len(found) <= MAX_NOTICES:
+            return found
+        self._notice_offset = (self._notice_offset + MAX_NOTICES) % len(found)
+        return (found[self._notice_offset :] + found[: self._notice_offset])[
+            :MAX_NOTICES
+        ]
+
+    def may_send(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint that was chosen before may still get a request."""
+        record = self.records.get(endpoint.id)
+        if record is None or record.replaced:
+            return False
+        return not record.leaving(time.monotonic())
+
+    def _record_stated_leaving(
+        self, notices: Iterable[LeavingNotice], source: str
+    ) -> None:
+        now = time.monotonic()
+        new = set()
+        for notice in notices:
+            if notice not in self._stated_leaving:
+                new.add(notice)
+            self._stated_leaving[notice] = now + STATED_LEAVING_TTL_S
+        if not new:
+            return
+        for record in self.records.values():
+            if LeavingNotice(record.key, record.endpoint.started_ms) not in new:
+                continue
+            logger.info(
+                "endpoint states that it leaves",
+                endpoint=record.endpoint.id,
+                source=source,
+                streams=len(record.active_streams),
+            )
+            self._apply_stated_leaving(record)
+            self._bump_version()
+
+    def _apply_stated_leaving(self, record: EndpointRecord) -> None:
+        """Let a record count as leaving, and its streams move, if it stated that."""
+        notice = LeavingNotice(record.key, record.endpoint.started_ms)
+        if notice not in self._stated_leaving:
+            return
+        record.leaving_deadline = float("inf")
+        record.presumed_draining_here = False
+        if record.next_move_deadline is None:
+            record.next_move_deadline = time.monotonic() + self._timing.move_delay_s
+
     def record_success(self, endpoint_id: str, latency_s: float) -> None:
         """Reset the failures and average the time to the first byte."""
         record = self.records.get(endpoint_id)
@@ -546,6 +644,8 @@
                 order_count=report.order_count,
                 layers=report.layers,
             )
+            record.leaving_deadline = 0.0
+            self._apply_stated_leaving(record)
             self._bump_version()
             _move_streams(record, "endpoint restarted")
             return
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -281,6 +281,9 @@
 
     async def _send_order(self, endpoint: Endpoint, order: PendingOrder) -> bool:
         """Send an order once; return whether its outcome is known."""
+        if not self._directory.may_send(endpoint):
+            self._fail_order(endpoint, order, "endpoint leaves")
+            return True
         try:
             report = await self._prober.fetch_report(endpoint)
         except (TransportError, DecodeError) as exc:
@@ -296,6 +299,9 @@
         if report.busy:
             self._fail_order(endpoint, order, "busy")
             return True
+        if not self._directory.may_send(endpoint):
+            self._fail_order(endpoint, order, "endpoint leaves")
+            return True
         order.sent, order.preceding_orders = True, report.order_count
         call = self._dialect.assign_layers_call(
             order.layers,
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -106,6 +106,7 @@
             lambda keys: self.directory.apply_presumed_draining(keys),
             lambda updates: self.directory.apply_layer_updates(updates),
             lambda statements: self.limits.apply(statements),
+            lambda notices: self.directory.apply_leaving(notices),
             metrics,
         )
         self._routing_watch = self._create_watch(Table.ROUTING, self._routing_changed)
@@ -135,7 +136,12 @@
             settings.limits,
         )
         self.statements = EndpointStatements(
-            self._dialect, self.limits, metrics, time.monotonic, settings.rest
+            self._dialect,
+            self.directory,
+            self.limits,
+            metrics,
+            time.monotonic,
+            settings.rest,
         )
         self._prober = Prober(
             self._dialect,
@@ -332,6 +338,7 @@
             usage=self.budget.usage(),
             demand=self.limits.demand_level(),
             limits=self.limits.statements(),
+            leaving_endpoints=self.directory.leaving_notices(),
         )
 
     def _probe_suspects(self, keys: list[int]) -> None:
--- a/packages/router/src/hemlockhall_router/process/statement.py
+++ b/packages/router/src/hemlockhall_router/process/statement.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from hemlockhall_router.policy.rest import Rest
+from hemlockhall_router.process.directory import STATED_LEAVING_TTL_S
 from hemlockhall_router.process.setting import RestSection
 from hemlockhall_router.request.failure import AttemptFailedError
 from hemlockhall_router.request.reason import RetryReason
@@ -19,6 +20,7 @@
 
     from hemlockhall_router.connection.message import ResponseHead
     from hemlockhall_router.process.dialect import Dialect
+    from hemlockhall_router.process.directory import Directory
     from hemlockhall_router.process.limits import EndpointLimits
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.version.endpoint import Endpoint
@@ -29,9 +31,6 @@
 # Callers that are refused while endpoints rest are told to come back at different times
 # within as many seconds of the end.
 CALLER_SPREAD_S = 0.5
-# Seconds for which an endpoint that stated that it leaves is remembered: longer than
-# one keeps running.
-LEAVING_TTL_S = 600.0
 
 
 class EndpointsRestingError(Exception):
@@ -83,6 +82,8 @@
     ----------
     dialect : Dialect
         Decodes the statement in a response.
+    directory : Directory
+        Keeps which endpoints leave.
     limits : EndpointLimits
         Keeps the request limits that endpoints state.
     metrics : Metrics
@@ -96,6 +97,7 @@
     def __init__(
         self,
         dialect: Dialect,
+        directory: Directory,
         limits: EndpointLimits,
         metrics: Metrics,
         clock: Callable[[], float],
@@ -103,6 +105,7 @@
     ) -> None:
         self.cfg = cfg or RestSection()
         self._dialect = dialect
+        self._directory = directory
         self._limits = limits
         self._metrics = metrics
         self._clock = clock
@@ -129,9 +132,14 @@
 
     def check_send(self, endpoints: Iterable[Endpoint]) -> None:
         """Raise ``AttemptFailedError`` if a request must not be sent to one of them."""
-        if not self._resting:
-            return
         for endpoint in endpoints:
+            if not self._directory.may_send(endpoint):
+                raise AttemptFailedError(
+                    RetryReason.LEAVING,
+                    "the endpoint leaves",
+                    may_have_run=False,
+                    suspects=[endpoint.id],
+                )
             if self.send_at(endpoint):
                 raise AttemptFailedError(
                     RetryReason.RESTING,
@@ -237,14 +245,14 @@
 
     def _record_leaving(self, endpoint: Endpoint) -> None:
         now = self._clock()
+        self._directory.record_leaving(endpoint)
         leaving = self._leaving.get(endpoint.incarnation)
         if leaving is not None:
-            leaving.deadline = now + LEAVING_TTL_S
+            leaving.deadline = now + STATED_LEAVING_TTL_S
             return
-        leaving = _Leaving(endpoint.id, now, now + LEAVING_TTL_S)
+        leaving = _Leaving(endpoint.id, now, now + STATED_LEAVING_TTL_S)
         self._leaving[endpoint.incarnation] = leaving
         self._metrics.count("statements", "leaving")
-        logger.info("endpoint states that it leaves", endpoint=endpoint.id)
         add, label = self._metrics.add_gauge, leaving.label
         add("endpoint_leaving_seconds", label, lambda: self._clock() - leaving.since)
         add("endpoint_leaving_sent", label, lambda: leaving.sent)
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -89,8 +89,8 @@
         ------
         AttemptFailedError
             If this host has no permit for the endpoint, or one on the path asked for
-            rest, or the endpoint cannot be reached, refuses, fails, or sends no head in
-            time.
+            rest or leaves, or the endpoint cannot be reached, refuses, fails, or sends
+            no head in time.
         MoveRequestedError
             If the stream was asked to move meanwhile.
         """
@@ -102,7 +102,8 @@
             )
         try:
             await self._connect()
-            # An endpoint may have asked for rest while the connection was opened.
+            # An endpoint may have asked for rest, or been found to leave, while the
+            # connection was opened.
             statements.check_send(self.path.endpoints)
         except AttemptFailedError:
             limits.give_back(permit)
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -151,7 +151,8 @@
                 RetryReason.NOT_SENT, str(exc), may_have_run=False
             ) from exc
         try:
-            # The endpoint may have asked for rest while the connection was opened.
+            # The endpoint may have asked for rest, or been found to leave, while the
+            # connection was opened.
             context.statements.check_send([endpoint])
         except AttemptFailedError:
             context.limits.give_back(permit)
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -45,7 +45,8 @@
     or event, ``FAILED`` a response that is an error or cannot be relayed. ``STAYED``
     counts moves that failed: the stream stayed on its path. ``NO_PERMIT`` means that
     the request was not sent, as another one took the last permit for the endpoint, and
-    ``RESTING`` that it was not sent, as the endpoint asked for rest meanwhile.
+    ``RESTING`` and ``LEAVING`` that it was not sent, as the endpoint asked for rest or
+    was found to leave meanwhile.
     """
 
     NOT_SENT = "not_sent"
@@ -57,10 +58,13 @@
     STAYED = "stayed"
     NO_PERMIT = "no_permit"
     RESTING = "resting"
+    LEAVING = "leaving"
 
 
 # Reasons of attempts in which this host decided not to send the request.
-WITHHELD_REASONS = frozenset((RetryReason.NO_PERMIT, RetryReason.RESTING))
+WITHHELD_REASONS = frozenset(
+    (RetryReason.NO_PERMIT, RetryReason.RESTING, RetryReason.LEAVING)
+)
 # Reasons of attempts in which no request was sent.
 UNSENT_REASONS = WITHHELD_REASONS | {RetryReason.NOT_SENT}
 
--- a/packages/standins/src/hemlockhall_standins/router/pool.py
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -71,7 +71,9 @@
 def make_statements(directory: Directory) -> EndpointStatements:
     """Return the statements of endpoints that a host knows, none at first."""
     limits = make_limits(directory)
-    return EndpointStatements(StandinDialect(), limits, Metrics(), time.monotonic)
+    return EndpointStatements(
+        StandinDialect(), directory, limits, Metrics(), time.monotonic
+    )
 
 
 def make_chooser(
--- a/tests/router/test_statement.py
+++ b/tests/router/test_statement.py
@@ -40,7 +40,10 @@
 
 @pytest.fixture()
 def directory() -> Directory:
-    return make_directory()
+    result = make_directory()
+    for endpoint_id in ("d1", "d2"):
+        result.add(replace(ENDPOINT, id=endpoint_id))
+    return result
 
 
 @pytest.fixture()
