Keep the streams of a restarted endpoint whose earlier run left

Streams of an endpoint that had drained and started again under the same id were moved off it in groups, again and again, each move a retry of the budget.

Cause: next_move_deadline was set with the draining entry and never cleared.

Change: it is cleared when the endpoint restarts, by its entry or a report.

Evidence: the test failed first (next_move_deadline was still a time) and passes.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -155,6 +155,7 @@
         self.down = False
         self.slowdown = 1.0
         self.leaving_deadline = 0.0
+        self.next_move_deadline = None
         self.replaced = False
 
     def leaving(self, now: float) -> bool:
@@ -256,8 +257,6 @@
         record.entry_grace_deadline = None
         restarted = old.incarnation != endpoint.incarnation
         restarted = restarted or old.address != endpoint.address
-        if endpoint.draining and record.next_move_deadline is None:
-            record.next_move_deadline = time.monotonic() + self._timing.move_delay_s
         if old.draining != endpoint.draining or old.layers != endpoint.layers:
             logger.info(
                 "endpoint changed",
@@ -269,6 +268,8 @@
             self._addresses.release(record)
             record.reset()
             self.generation += 1
+        if endpoint.draining and record.next_move_deadline is None:
+            record.next_move_deadline = time.monotonic() + self._timing.move_delay_s
         record.endpoint = self._merge_layers(record, endpoint)
         if restarted:
             self._apply_stated_leaving(record)
@@ -645,6 +646,7 @@
                 layers=report.layers,
             )
             record.leaving_deadline = 0.0
+            record.next_move_deadline = None
             self._apply_stated_leaving(record)
             self._bump_version()
             _move_streams(record, "endpoint restarted")
--- a/tests/router/test_leaving.py
+++ b/tests/router/test_leaving.py
@@ -191,6 +191,30 @@
         assert bodies[0].count(b"data:") == 2
         assert time.monotonic() - began_at < DRAIN_S
 
+    async def test_those_of_a_restarted_endpoint_stay(self) -> None:
+        """Guards against a restarted endpoint that is emptied again and again as its
+        earlier incarnation left."""
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("p1", stream, **ALL_LAYERS, draining=True)
+            record = harness.routers[0].directory.records["p1"]
+            endpoint = record.endpoint
+            harness.routers[0].directory.record_leaving(endpoint)
+            assert record.next_move_deadline is not None
+            record.endpoint = endpoint
+            harness.routers[0].directory._upsert(
+                type(endpoint)(
+                    endpoint.id,
+                    "pool",
+                    endpoint.host,
+                    endpoint.port,
+                    "here",
+                    started_ms=2,
+                    layers=endpoint.layers,
+                )
+            )
+            assert not record.leaving(time.monotonic())
+            assert record.next_move_deadline is None
+
 
 class TestOrders:
     async def test_a_leaving_endpoint_gets_none(self) -> None:
