--- a/tests/router/test_statement.py
+++ b/tests/router/test_statement.py
@@ -8,10 +8,12 @@
 import pytest
 
 from hemlockhall_router.connection.message import ResponseHead
+from hemlockhall_router.policy.rest import MAX_EXTENSION_FRACTION, RETURN_REQUESTS
 from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.setting import RestSection
 from hemlockhall_router.process.statement import (
     CALLER_SPREAD_S,
+    RETURN_TTL_S,
     EndpointsRestingError,
     EndpointStatements,
 )
@@ -108,6 +110,32 @@
         assert max(waits_s) - min(waits_s) > CALLER_SPREAD_S / 2
 
 
+class TestGauges:
+    def test_they_are_shown_until_the_return_is_over(
+        self, statements: EndpointStatements, clock: VirtualClock
+    ) -> None:
+        """Guards against gauges that stay for good, as endpoints come and go."""
+        statements.record_response(ENDPOINT, refusal("3"))
+        clock.advance(3.0 * (1 + MAX_EXTENSION_FRACTION) + RETURN_TTL_S - 0.5)
+        statements.expire()
+        assert b"endpoint_rest" in statements._metrics.render()
+        clock.advance(0.5)
+        statements.expire()
+        assert b"endpoint_rest" not in statements._metrics.render()
+        assert not statements.any_resting
+
+    def test_the_return_is_over_once_requests_were_accepted(
+        self, statements: EndpointStatements, clock: VirtualClock
+    ) -> None:
+        statements.record_response(ENDPOINT, refusal("3"))
+        clock.advance(4.0)
+        for _ in range(RETURN_REQUESTS):
+            statements.record_sent([ENDPOINT])
+            statements.record_accepted([ENDPOINT])
+        statements.expire()
+        assert b"endpoint_rest" not in statements._metrics.render()
+
+
 class TestPath:
     @pytest.fixture()
     def chooser(self, directory: Directory, statements: EndpointStatements):  # noqa: ANN201
