Let the soak's endpoints not respond after they have ended

Traced with the times of arrivals, rests and restarts: the endpoint began anew at 11.108 s and answered at 11.129 s a request that had arrived before, asking for rest. A process that has ended does not respond, and a new incarnation has asked for nothing; so the case was the test's own. It resets such requests now, and endpoints that leave start anew sooner, so that more happens in each run.

--- a/tests/router/test_statement_soak.py
+++ b/tests/router/test_statement_soak.py
@@ -67,8 +67,12 @@
     async def handle(self, received: ReceivedRequest) -> None:
         request_id = received.header("request-id") or ""
         self.arrivals.append((time.monotonic(), request_id))
-        mode = self.mode
+        mode, born = self.mode, self.born
         await anyio.sleep(random.uniform(0.0, 0.15))
+        if self.born != born:
+            # A process that has ended does not respond.
+            await received.reset()
+            return
         if self.endpoint.leaving:
             self.leaving.append((time.monotonic(), request_id))
         if mode == "rest":
@@ -95,7 +99,10 @@
         service = ROWS[self.target]["service"]
         while True:
             await anyio.sleep(random.uniform(0.3, 2.0))
-            step = random.choice(("mode", "mode", "mode", "leave", "entry", "restart"))
+            steps = ["mode", "mode", "mode", "mode", "entry", "restart", "leave"]
+            if self.endpoint.leaving:
+                steps += ["entry", "restart", "restart"]
+            step = random.choice(steps)
             if step == "mode":
                 modes = ("accept", "accept", "rest", "rest", "full", "reset")
                 self.mode = random.choice((*modes, "bad rest"))
