Give plain services the rest that they ask entry hosts for

Callers saw: with a service that answers 503 with Retry-After, calls that end there again and again while another endpoint of the service is idle.

An entry host sends calls to other endpoints until then; without one the call is refused at once with the time that is left. Responses to calls with a key do not count, as they may be stored ones.

--- a/packages/daemon/src/hemlockhalld/process/entry.py
+++ b/packages/daemon/src/hemlockhalld/process/entry.py
@@ -24,6 +24,7 @@
 from hemlockhalld.process.document_poller import DocumentPoller
 from hemlockhalld.process.host_list import HostListPoller
 from hemlockhalld.process.limiter import Limiter
+from hemlockhalld.process.rest import ServiceRests
 from hemlockhalld.process.web import CallerApp
 from hemlockhalld.request.generation import Generation, PeerLost
 from hemlockhalld.request.service_call import ServiceCall
@@ -50,6 +51,7 @@
         self._cfg = settings.entry
         self.open_requests = 0
         self.limiter = Limiter(self._live_host_count)
+        self._service_rests = ServiceRests()
         self._requests: dict[str, Generation | ServiceCall] = {}
         self._draining: set[str] = set()
         chooser_type = CHOOSERS[self._cfg.chooser]
@@ -126,7 +128,13 @@
     def start_call(self, call: Call, deadline: float) -> ServiceCall:
         """Return a new call of a plain service; pair with ``end_request``."""
         service_call = ServiceCall(
-            call, deadline, self.link, self.metrics, self.version, self._choose_endpoint
+            call,
+            deadline,
+            self.link,
+            self.metrics,
+            self.version,
+            self._choose_endpoint,
+            rests=self._service_rests,
         )
         self._requests[call.request] = service_call
         return service_call
--- a/packages/daemon/src/hemlockhalld/request/service_call.py
+++ b/packages/daemon/src/hemlockhalld/request/service_call.py
@@ -19,6 +19,7 @@
     CancelCall,
 )
 from hemlockhall_core.request.reason import Ran, RefusalReason, RetryReason
+from hemlockhalld.process.rest import ServiceRests
 from hemlockhalld.request.generation import PeerLost
 from hemlockhalld.request.problem import Problem
 from hemlockhalld.request.version_wait import wait_for_newer_version
@@ -43,7 +44,8 @@
     """Sends a call to one side process after another until one responds.
 
     An idempotent call may run twice. A non-idempotent call carries a key, and
-    only the side process that claims the key makes the call.
+    only the side process that claims the key makes the call. Endpoints whose
+    service asked for rest, by this call or an earlier one, get no call until then.
     """
 
     call: Call
@@ -54,6 +56,7 @@
     choose_endpoint: Callable[[str, set[str]], Endpoint | None]
     endpoint_name: str = ""
     ran: Ran = Ran.NO
+    rests: ServiceRests = field(default_factory=ServiceRests)
     _excluded: set[str] = field(default_factory=set)
     _sent_call: Call | None = None
 
@@ -86,6 +89,7 @@
             sent, self._sent_call = self._sent_call, None
             assert sent is not None
             if isinstance(event, CallResponse):
+                self._record_rest(event)
                 return event
             retry = self._retry_reason(event, peer, sent)
             self.metrics.count_retry(retry)
@@ -98,7 +102,10 @@
         raise Problem(RefusalReason.REPAIR_EXHAUSTED, detail, self.ran, RETRY_AFTER_S)
 
     def _send(self, attempt: int) -> Peer:
-        endpoint = self.choose_endpoint(self.call.service, self._excluded)
+        resting = self.rests.resting()
+        endpoint = self.choose_endpoint(self.call.service, self._excluded | resting)
+        if endpoint is None and resting:
+            self._raise_if_resting()
         if endpoint is None:
             detail = f"no endpoint of {self.call.service} takes calls now"
             raise Problem(RefusalReason.NO_ENDPOINT, detail, self.ran, RETRY_AFTER_S)
@@ -116,6 +123,24 @@
             ) from exc
         return peer
 
+    def _record_rest(self, response: CallResponse) -> None:
+        # The response to a call with a key may be that to an earlier call.
+        if not self.call.idempotent:
+            return
+        if self.rests.record(self.endpoint_name, response):
+            logger.bind(request=self.call.request).info(
+                "{} asks for rest", self.endpoint_name
+            )
+
+    def _raise_if_resting(self) -> None:
+        """Raise :class:`Problem` if only the rest of an endpoint is in the way."""
+        endpoint = self.choose_endpoint(self.call.service, self._excluded)
+        if endpoint is None:
+            return
+        detail = f"the endpoints of {self.call.service} asked for rest"
+        retry_after = self.rests.remaining_s(endpoint.name)
+        raise Problem(RefusalReason.NO_ENDPOINT, detail, self.ran, retry_after)
+
     async def _next_event(self, attempt: int) -> CallResponse | CallRefused | PeerLost:
         while True:
             remaining_s = self.deadline - time.monotonic()
