Do not let probes use up the requests that follow a rest

Callers saw: nothing; found on reading the fix. An endpoint that is slow is probed each second. After its rest the first probe took the one request that may be sent, and each further probe began the wait for its answer anew, so that the endpoint could stay out for 30 s.

Change: calls of the control API are counted for the gauges, and no longer as requests that show whether the endpoint accepts some again.

Evidence: the new test failed first (503 in place of 200 after the rest) and passes.

--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -256,7 +256,7 @@
             self._check_call(endpoint)
             headers = [(b"Host", f"{host}:{port}".encode()), *call.headers]
             data = encode_request(call.method, call.target, headers, call.body)
-            self._statements.record_sent([endpoint])
+            self._statements.record_call(endpoint)
             await conn.send(data, deadline)
             response = await conn.read_response(deadline)
         finally:
--- a/packages/router/src/hemlockhall_router/process/statement.py
+++ b/packages/router/src/hemlockhall_router/process/statement.py
@@ -177,18 +177,20 @@
         return statement
 
     def record_sent(self, endpoints: Iterable[Endpoint]) -> None:
-        """Count a request that is sent to an endpoint, or through several."""
-        if not self._resting and not self._leaving:
-            return
+        """Record a request that is sent to an endpoint, or through several."""
         now = self._clock()
         for endpoint in endpoints:
+            self._count_sent(endpoint)
             resting = self._resting.get(endpoint.incarnation)
             if resting is not None:
-                resting.sent += 1
                 resting.rest.record_sent(now)
-            leaving = self._leaving.get(endpoint.incarnation)
-            if leaving is not None:
-                leaving.sent += 1
+
+    def record_call(self, endpoint: Endpoint) -> None:
+        """Record a call of an endpoint's control API.
+
+        Unlike a request it does not show whether the endpoint accepts requests again.
+        """
+        self._count_sent(endpoint)
 
     def record_accepted(self, endpoints: Iterable[Endpoint]) -> None:
         """Record that an endpoint, or each of several, accepted a request."""
@@ -243,6 +245,14 @@
         )
         add("endpoint_rest_sent", label, lambda: resting.sent)
 
+    def _count_sent(self, endpoint: Endpoint) -> None:
+        for stated in (
+            self._resting.get(endpoint.incarnation),
+            self._leaving.get(endpoint.incarnation),
+        ):
+            if stated is not None:
+                stated.sent += 1
+
     def _record_leaving(self, endpoint: Endpoint) -> None:
         now = self._clock()
         self._directory.record_leaving(endpoint)
--- a/tests/router/test_rest.py
+++ b/tests/router/test_rest.py
@@ -197,6 +197,19 @@
             assert endpoint.calls == calls
             await harness.wait_until(lambda: endpoint.calls > calls)
 
+    async def test_calls_do_not_use_up_the_requests_after_a_rest(self) -> None:
+        """Guards against a slow endpoint that stays out for long after its rest, as its
+        probes count as the requests that show whether it accepts some again."""
+        async with router_harness(ROUTES) as harness:
+            endpoint = await harness.start_endpoint("p1", refuse, **ALL_LAYERS)
+            endpoint.rest_s = REST_S
+            await harness.request("/draft/")
+            router = harness.routers[0]
+            endpoint.handler = stream
+            await anyio.sleep(LONGEST_REST_S)
+            await router._prober.fetch_report(router.directory.records["p1"].endpoint)
+            assert (await harness.request("/draft/")).head.status == 200
+
     async def test_an_entry_that_lapses_and_comes_back_does_not_end_a_rest(
         self,
     ) -> None:
