Keep the retry of a plain request that was withheld

A plain request that was not sent, for want of a permit or as the endpoint asked for rest while the connection was opened, had taken a retry from the budget of all hosts, and its next attempt took another one.

Change: as with streams, the next attempt uses the retry that was taken.

Evidence: the test failed first (two retries for one that was sent: assert 2 == 1) and passes.

--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -18,6 +18,7 @@
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
 from hemlockhall_router.request.reason import (
     UNSENT_REASONS,
+    WITHHELD_REASONS,
     RefusalReason,
     RetryReason,
 )
@@ -60,6 +61,7 @@
         self._writer = writer
         self._attempted_ids: set[str] = set()
         self._attempts_sent = 0
+        self._retry_acquired = False
         self._may_have_run = False
         self._unexecuted_attempts = 0
         self._error_response: Response | None = None
@@ -86,9 +88,7 @@
             if record is None or request.remaining_s <= 0:
                 await self._give_up(RefusalReason.NO_ENDPOINT)
                 return
-            if self._attempts_sent and not self._context.retry_budget.try_acquire(
-                request.service.name
-            ):
+            if self._attempts_sent and not self._acquire_retry():
                 await self._give_up(RefusalReason.RETRY_BUDGET)
                 return
             try:
@@ -118,6 +118,9 @@
             self._error_response = exc.response
         if exc.reason not in UNSENT_REASONS:
             self._attempts_sent += 1
+        elif exc.reason in WITHHELD_REASONS and self._attempts_sent:
+            # Nothing was sent, so the retry that was taken is used by the next attempt.
+            self._retry_acquired = True
         if not exc.may_have_run:
             self._unexecuted_attempts += 1
             return self._unexecuted_attempts < MAX_UNEXECUTED_ATTEMPTS
@@ -127,6 +130,13 @@
             and len(self._attempted_ids) < request.route.max_attempts
         )
 
+    def _acquire_retry(self) -> bool:
+        """Take a retry from the budget, unless the last one was not used."""
+        if self._retry_acquired:
+            self._retry_acquired = False
+            return True
+        return self._context.retry_budget.try_acquire(self._request.service.name)
+
     async def _run_attempt(self, record: EndpointRecord) -> Response:
         request, context = self._request, self._context
         endpoint = record.endpoint
--- a/tests/router/test_rest.py
+++ b/tests/router/test_rest.py
@@ -269,6 +269,36 @@
         assert len(resting.arrivals) == 2
         assert resting.arrivals[1] >= resting.arrivals[0] + REST_S
 
+    async def test_a_retry_is_not_lost_to_a_request_that_is_not_sent(self) -> None:
+        """Guards against plain requests that take two retries from the budget for one
+        that is sent, as an endpoint asked for rest while the connection was opened."""
+        async with router_harness(ROUTES) as harness:
+            refusing = await harness.start_endpoint("d1", refuse)
+            router = harness.routers[0]
+            for name in ("d2", "d3"):
+                await harness.start_endpoint(name, respond)
+            records = router.directory.records
+            records["d1"].latency_s = 0.01
+            statement = EndpointStatement(rejected=True, rest_s=REST_S)
+            opened = ClientConnection.open
+            resting: list[str] = []
+
+            async def open_late(host: str, port: int, deadline: float) -> Any:
+                for name in ("d2", "d3"):
+                    if records[name].endpoint.port == port and not resting:
+                        resting.append(name)
+                        known = records[name].endpoint
+                        router.statements.record_rest(known, statement)
+                return await opened(host, port, deadline)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(ClientConnection, "open", open_late)
+                response = await harness.request("/read/")
+            retries = sum(router.budget._counts("desk").retries.values())
+        assert response.head.status == 200
+        assert len(refusing.arrivals) == len(resting) == 1
+        assert retries == 1
+
     async def test_a_permit_is_not_lost_to_a_request_that_is_not_sent(self) -> None:
         """Guards against permits of a limited endpoint that are used up by requests
         withheld as it asked for rest while they waited for a connection."""
