--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/ruff format .
 
 test: setup
-	$(BIN)/pytest -q tests
+	.ci/unit
 	.ci/features $(JOBS)
 
 bench-recovery: setup
