--- a/tests/router/test_rest.py
+++ b/tests/router/test_rest.py
@@ -12,13 +12,17 @@
 from hemlockhall_router.connection.client import ClientConnection
 from hemlockhall_router.connection.message import Response
 from hemlockhall_router.policy.rest import MAX_EXTENSION_FRACTION
-from hemlockhall_router.process.directory import INITIAL_LATENCY_S
+from hemlockhall_router.process.directory import INITIAL_LATENCY_S, EndpointRecord
 from hemlockhall_router.process.prober import CallWithheldError
 from hemlockhall_router.process.statement import CALLER_SPREAD_S
 from hemlockhall_router.process.store import Table
-from hemlockhall_router.version.endpoint import EndpointStatement
+from hemlockhall_router.version.endpoint import Endpoint, EndpointStatement
 from hemlockhall_standins.router.dialect import RouteRow
-from hemlockhall_standins.router.endpoint import ReceivedRequest, RequestHandler
+from hemlockhall_standins.router.endpoint import (
+    ReceivedRequest,
+    RequestHandler,
+    ScriptedEndpoint,
+)
 from hemlockhall_standins.router.harness import router_harness
 from hemlockhall_standins.router.load import CallerLoad, most_during_rest
 from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
@@ -197,6 +201,62 @@
             assert endpoint.calls == calls
             await harness.wait_until(lambda: endpoint.calls > calls)
 
+    async def test_a_resting_endpoint_gets_no_layers(self) -> None:
+        """Guards against orders of the planner to an endpoint that rests, and against
+        one that gets none after its rest."""
+        async with router_harness(ROUTES) as harness:
+            router = harness.routers[0]
+            statement = EndpointStatement(rejected=True, rest_s=REST_S)
+            applied = router.directory.add
+
+            def add(endpoint: Endpoint) -> EndpointRecord:
+                router.statements.record_rest(endpoint, statement)
+                return applied(endpoint)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(router.directory, "add", add)
+                row = {"service": "pool", "accelerator": "big"}
+                endpoint = await harness.start_endpoint("p1", refuse, **row)
+            await anyio.sleep(REST_S - 0.1)
+            assert endpoint.calls == 0
+            await harness.wait_until(lambda: endpoint.orders)
+
+    async def test_a_running_stream_does_not_move_to_a_resting_endpoint(self) -> None:
+        """Guards against streams of a leaving endpoint that move to one that rests, or
+        are given up although they are still served."""
+        resting: list[ScriptedEndpoint] = []
+
+        async def hold(received: ReceivedRequest) -> None:
+            await received.begin()
+            await received.event(1)
+            await received.reader.wait_disconnect()
+
+        async def resume(received: ReceivedRequest) -> None:
+            await received.begin()
+            await received.event(2)
+            await received.end()
+
+        route = RouteRow("/draft/", "stream", "pool", resumable=True, pause_s=5.0)
+        async with router_harness([route]) as harness:
+            leaving = await harness.start_endpoint("p1", hold, **ALL_LAYERS)
+            leaving.leaving = True
+            router, bodies = harness.routers[0], []
+
+            async def request() -> None:
+                bodies.append((await harness.request("/draft/")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(request)
+                await harness.wait_until(lambda: leaving.arrivals)
+                statement = EndpointStatement(rejected=True, rest_s=REST_S)
+                resting.append(await harness.start_endpoint("p2", resume, **ALL_LAYERS))
+                known = router.directory.records["p2"].endpoint
+                router.statements.record_rest(known, statement)
+                asked_at = time.monotonic()
+        assert bodies[0].count(b"data:") == 2
+        assert len(leaving.arrivals) == 1
+        assert resting[0].arrivals[0] >= asked_at + REST_S
+
     async def test_calls_do_not_use_up_the_requests_after_a_rest(self) -> None:
         """Guards against a slow endpoint that stays out for long after its rest, as its
         probes count as the requests that show whether it accepts some again."""
--- a/tests/router/test_statement.py
+++ b/tests/router/test_statement.py
@@ -77,6 +77,25 @@
         statements.check_send([replace(ENDPOINT, started_ms=2)])
         statements.check_send([replace(ENDPOINT, id="d2")])
 
+    def test_other_backoffs_neither_hide_nor_end_it(
+        self,
+        statements: EndpointStatements,
+        directory: Directory,
+        clock: VirtualClock,
+    ) -> None:
+        """Guards against a rest that is ended by a shorter backoff, a success or an
+        endpoint that is found up, or is not recorded as one of these runs."""
+        directory.record_failure("d1", "no connection")
+        statements.record_response(ENDPOINT, refusal("3"))
+        directory.record_busy("d1")
+        directory.record_success("d1", 0.1)
+        directory.set_down("d1", down=True)
+        directory.set_down("d1", down=False)
+        directory.records["d1"].backoff_deadline = 0.0
+        clock.advance(2.9)
+        with pytest.raises(AttemptFailedError):
+            statements.check_send([ENDPOINT])
+
     def test_another_endpoint_at_the_address_cannot_ask_for_it(
         self, statements: EndpointStatements
     ) -> None:
