Log which prompts endpoints crash under

The record of endpoints that crash one after the other could not tell its three hypotheses apart: "stream broke" named neither the segments of the prompt nor whether the head of a response had arrived, and the end of an endpoint was shown only as "endpoint down" with the streams left there, none by then.

"stream broke" has both now. A new line "endpoint crashed under request" follows each attempt that ended before its first event, once its endpoint is found down or restarted and was not leaving; the counter crash_attempts counts them by whether a head had arrived, and those whose endpoint lives. Repeats of one request show as the same request with several endpoints, a shared segment as several requests with it, other causes as crashes without such a line. The dialect decodes the segments that a request states.

--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -0,0 +1,118 @@
+"""Attempts that ended together with the endpoint that was about to respond."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from hemlockhall_router.request.failure import decode_value
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from hemlockhall_router.process.directory import Directory
+    from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.request.relay import RoutedRequest
+    from hemlockhall_router.version.endpoint import Endpoint
+
+# Time after a broken attempt in which its endpoint must be found down, or restarted, to
+# count as crashed: its next start may first show in the store.
+CONFIRMATION_S = 3.0
+# Attempts that wait for it.
+MAX_PENDING = 512
+# Segments of a prompt in one log line.
+MAX_LOGGED_SEGMENTS = 8
+
+
+@dataclass(slots=True)
+class _BrokenAttempt:
+    """An attempt that ended before its first event; it is dropped at ``deadline``."""
+
+    request: RoutedRequest
+    endpoints: Sequence[Endpoint]
+    responded: bool
+    deadline: float
+
+
+class CrashWatch:
+    """Finds which endpoints crashed while they were to respond to a request.
+
+    Parameters
+    ----------
+    directory : Directory
+        Says which endpoints have ended.
+    metrics : Metrics
+        Counts the attempts.
+    clock : callable
+        Returns the monotonic time in seconds.
+    """
+
+    def __init__(
+        self, directory: Directory, metrics: Metrics, clock: Callable[[], float]
+    ) -> None:
+        self._directory = directory
+        self._metrics = metrics
+        self._clock = clock
+        self._pending: list[_BrokenAttempt] = []
+
+    def record_attempt(
+        self, request: RoutedRequest, endpoints: Sequence[Endpoint], *, responded: bool
+    ) -> None:
+        """Record an attempt that ended before its first event.
+
+        Parameters
+        ----------
+        request : RoutedRequest
+            The request.
+        endpoints : sequence of Endpoint
+            Those of which one may have crashed, as they were when it was sent.
+        responded : bool
+            Whether the head of the response had arrived.
+        """
+        if len(self._pending) >= MAX_PENDING:
+            self._metrics.count("crash_attempts", "left_out")
+            return
+        deadline = self._clock() + CONFIRMATION_S
+        self._pending.append(_BrokenAttempt(request, endpoints, responded, deadline))
+
+    def update(self) -> None:
+        """Look for the endpoints of broken attempts; called periodically."""
+        now = self._clock()
+        waiting = []
+        for attempt in self._pending:
+            endpoint = self._crashed_endpoint(attempt)
+            if endpoint is not None:
+                self._record_crash(attempt, endpoint)
+                continue
+            if now < attempt.deadline:
+                waiting.append(attempt)
+                continue
+            self._metrics.count("crash_attempts", "endpoint_lives")
+        self._pending = waiting
+
+    def _crashed_endpoint(self, attempt: _BrokenAttempt) -> Endpoint | None:
+        for endpoint in attempt.endpoints:
+            if self._directory.has_crashed(endpoint):
+                return endpoint
+        return None
+
+    def _record_crash(self, attempt: _BrokenAttempt, endpoint: Endpoint) -> None:
+        label = "responded" if attempt.responded else "waiting"
+        self._metrics.count("crash_attempts", label)
+        request = attempt.request
+        logger.warning(
+            "endpoint crashed under request",
+            request=decode_value(request.id),
+            route=request.route.name,
+            endpoint=endpoint.id,
+            started_ms=endpoint.started_ms,
+            responded=attempt.responded,
+            segments=request.segments.shared[:MAX_LOGGED_SEGMENTS],
+        )
+
+
+__all__ = [
+    "CrashWatch",
+]
--- a/packages/router/src/hemlockhall_router/process/dialect.py
+++ b/packages/router/src/hemlockhall_router/process/dialect.py
@@ -87,6 +87,18 @@
     max_output: int
 
 
+@dataclass(slots=True, frozen=True)
+class PromptSegments:
+    """The segments that a request states its prompt to consist of, by id.
+
+    Prompts of other requests may have ``shared`` segments too; ``own`` belongs to the
+    request or its session, and is empty if the request states none.
+    """
+
+    shared: tuple[str, ...] = ()
+    own: str = ""
+
+
 class Dialect(ABC):
     """Names and formats of one platform; holds no routing logic.
 
@@ -118,6 +130,13 @@
     def decode_token_counts(self, head: RequestHead) -> TokenCounts | None:
         """Return the token counts that a request states, or None."""
 
+    @abstractmethod
+    def decode_prompt_segments(self, head: RequestHead) -> PromptSegments:
+        """Return the segments of the prompt that a request states.
+
+        Entries that cannot be decoded are left out.
+        """
+
     @abstractmethod
     def decode_statement(self, head: ResponseHead) -> EndpointStatement:
         """Return what a response says about the endpoint that sent it.
@@ -182,6 +201,7 @@
     "Dialect",
     "EndpointCall",
     "HeaderNames",
+    "PromptSegments",
     "TokenCounts",
     "dialect",
     "load_dialect",
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -458,6 +458,18 @@
             return not record.replaced
         return endpoint.incarnation in self._removed_running_deadlines
 
+    def has_crashed(self, endpoint: Endpoint) -> bool:
+        """Return whether this incarnation of an endpoint ended without leaving.
+
+        One that does not answer probes counts as ended, as it may come back.
+        """
+        record = self.records.get(endpoint.id)
+        if record is None:
+            return not endpoint.draining
+        if record.endpoint.incarnation != endpoint.incarnation or record.replaced:
+            return True
+        return record.down and not record.leaving(time.monotonic())
+
     def _bump_version(self) -> None:
         self.version += 1
 
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -259,6 +259,7 @@
             id=self._request_id(head),
             deadline=min(deadline, arrived_at + route.timeout_s),
             token_counts=tokens,
+            segments=self._context.dialect.decode_prompt_segments(head),
         )
 
     def _authenticate(
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -23,6 +23,7 @@
 from hemlockhall_router.process.admission import Admission
 from hemlockhall_router.process.budget import RetryBudget
 from hemlockhall_router.process.chooser import Chooser
+from hemlockhall_router.process.crash import CrashWatch
 from hemlockhall_router.process.dialect import DecodeError, load_dialect
 from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.frontend import Frontend
@@ -163,6 +164,7 @@
             self.directory, self.membership, metrics, settings.admission
         )
         self._pool = ConnectionPool()
+        self._crashes = CrashWatch(self.directory, metrics, time.monotonic)
         context = RelayContext(
             self._dialect,
             self._pool,
@@ -175,6 +177,7 @@
             self.limits,
             self.statements,
             self.admission,
+            self._crashes,
         )
         self.frontend = Frontend(
             context,
@@ -367,6 +370,7 @@
             self.limits.issue()
             self.statements.expire()
             self.directory.process_deadlines()
+            self._crashes.update()
             self.directory.set_remote_loads(self.membership.peer_loads())
             await self._pool.close_expired()
 
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -39,7 +39,8 @@
     """An attempt of a stream, from sending the request to the last event.
 
     Its creator must call ``close``, which makes the endpoints stop work on it.
-    ``rejected_for_room`` is true if an endpoint rejected it for want of room.
+    ``rejected_for_room`` is true if an endpoint rejected it for want of room, and
+    ``responded`` if the head of a response to it arrived.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.path = path
         self.head: ResponseHead | None = None
         self.rejected_for_room = False
+        self.responded = False
         self._statement = EndpointStatement()
         self.active_stream = ActiveStream(
             self.endpoint_ids,
@@ -223,6 +225,7 @@
             head = await self.active_stream.wait(self._conn.read_head, deadline)
             echoed = head.header(name)
             if echoed is None or echoed == self._request.id:
+                self.responded = True
                 self._statement = self._context.statements.record_response(
                     self.path.first_endpoint, head
                 )
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -19,6 +19,7 @@
 from hemlockhall_router.process.statement import EndpointsRestingError
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
 from hemlockhall_router.request.reason import (
+    CRASH_REASONS,
     UNSENT_REASONS,
     WITHHELD_REASONS,
     RefusalReason,
@@ -142,6 +143,11 @@
                 return False
             return self._unexecuted_attempts < MAX_UNEXECUTED_ATTEMPTS
         self._may_have_run = True
+        if exc.reason in CRASH_REASONS and request.segments.own:
+            self._context.prober.request_probes([record.endpoint.id])
+            self._context.crashes.record_attempt(
+                request, [record.endpoint], responded=False
+            )
         return (
             request.route.retryable
             and len(self._attempted_ids) < request.route.max_attempts
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -67,11 +67,14 @@
 WITHHELD_REASONS = frozenset(
     (RetryReason.NO_PERMIT, RetryReason.RESTING, RetryReason.LEAVING)
 )
+# Reasons of attempts during which an endpoint may have crashed.
+CRASH_REASONS = frozenset((RetryReason.BROKEN, RetryReason.SILENT, RetryReason.MOVED))
 # Reasons of attempts in which no request was sent.
 UNSENT_REASONS = WITHHELD_REASONS | {RetryReason.NOT_SENT}
 
 
 __all__ = [
+    "CRASH_REASONS",
     "UNSENT_REASONS",
     "RefusalReason",
     "RetryReason",
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -10,6 +10,7 @@
 from hemlockhall_router.connection.message import encode_request, end_to_end_headers
 from hemlockhall_router.policy.priority import combine_priorities, usable_priority
 from hemlockhall_router.policy.retry_reserve import retry_reserve
+from hemlockhall_router.process.dialect import PromptSegments
 
 if TYPE_CHECKING:
     from hemlockhall_router.connection.message import Headers, RequestHead
@@ -18,6 +19,7 @@
     from hemlockhall_router.process.admission import Admission
     from hemlockhall_router.process.budget import RetryBudget
     from hemlockhall_router.process.chooser import Chooser
+    from hemlockhall_router.process.crash import CrashWatch
     from hemlockhall_router.process.dialect import Dialect, TokenCounts
     from hemlockhall_router.process.directory import Directory, EndpointRecord
     from hemlockhall_router.process.limits import EndpointLimits
@@ -52,6 +54,7 @@
     limits: EndpointLimits
     statements: EndpointStatements
     admission: Admission
+    crashes: CrashWatch
 
 
 @dataclass(slots=True)
@@ -70,6 +73,7 @@
     id: bytes
     deadline: float
     token_counts: TokenCounts | None = None
+    segments: PromptSegments = PromptSegments()
     completed: bool = False
 
     @property
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -19,6 +19,7 @@
     RETRY_AFTER_NO_ENDPOINT_S,
 )
 from hemlockhall_router.request.reason import (
+    CRASH_REASONS,
     UNSENT_REASONS,
     WITHHELD_REASONS,
     RefusalReason,
@@ -72,6 +73,8 @@
 # given up at this limit: one attempt per EXTRA_ATTEMPT_INTERVAL_S follows.
 MAX_ATTEMPTS = 12
 EXTRA_ATTEMPT_INTERVAL_S = 0.5
+# Segments of a prompt in one log line.
+MAX_LOGGED_SEGMENTS = 8
 
 
 class StreamRelay:
@@ -286,6 +289,8 @@
             reason=reason.value,
             cause=cause,
             path=attempt.endpoint_ids,
+            responded=attempt.responded,
+            segments=self._request.segments.shared[:MAX_LOGGED_SEGMENTS],
             after=decode_value(self._last_id or b""),
         )
 
@@ -306,12 +311,25 @@
         if exc.may_have_run:
             self._may_have_run = True
             self._record_execution(attempt)
+            self._record_crash(attempt, exc.reason)
             return request.route.retryable
         self._had_unexecuted_attempt = True
         if self._rejected_for_room and self._room_wait_expired():
             return False
         return self._retry_reserve() is not None
 
+    def _record_crash(self, attempt: Attempt, reason: RetryReason) -> None:
+        """Record an attempt that may have ended together with an endpoint."""
+        if reason not in CRASH_REASONS or attempt.active_stream.first_event_seen:
+            return
+        # Only the first endpoint is known to have closed its connection.
+        endpoints = attempt.path.endpoints
+        if reason is RetryReason.BROKEN:
+            endpoints = endpoints[:1]
+        self._context.crashes.record_attempt(
+            self._request, endpoints, responded=attempt.responded
+        )
+
     async def _find_path(self) -> Path | None:
         """Return a path, or None if there is none after a wait.
 
--- a/packages/standins/src/hemlockhall_standins/router/dialect.py
+++ b/packages/standins/src/hemlockhall_standins/router/dialect.py
@@ -13,6 +13,7 @@
     Dialect,
     EndpointCall,
     HeaderNames,
+    PromptSegments,
     TokenCounts,
     dialect,
 )
@@ -218,6 +219,11 @@
         """Return None: requests of the tests carry no token counts."""
         return None
 
+    def decode_prompt_segments(self, head: RequestHead) -> PromptSegments:
+        """Decode the header ``segments``: ids separated by spaces."""
+        ids = (head.header(b"segments") or b"").decode().split()
+        return PromptSegments(tuple(ids[:-1]), ids[-1]) if ids else PromptSegments()
+
     def decode_statement(self, head: ResponseHead) -> EndpointStatement:
         """Decode the headers ``request-limit``, ``rest-s`` and ``leaving``."""
         errors: dict[str, str] = {}
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -10,7 +10,7 @@
 from hemlockhall_platform.dialect import PlatformDialect
 from hemlockhall_router.connection.message import RequestHead, ResponseHead
 from hemlockhall_router.policy.priority import usable_priority
-from hemlockhall_router.process.dialect import DecodeError
+from hemlockhall_router.process.dialect import DecodeError, PromptSegments
 from hemlockhall_router.version.endpoint import (
     Endpoint,
     EndpointStatement,
@@ -237,6 +237,23 @@
         assert body["fence"] == 9
         assert body["mode"] == "cutover"
 
+    @pytest.mark.parametrize(
+        ("value", "shared", "own"),
+        [
+            (b"5c1e:800,91bd3f06:410, e4402b7d:250", ("5c1e", "91bd3f06"), "e4402b7d"),
+            (b"e4402b7d:250", (), "e4402b7d"),
+            (b"5c1e07a2,:3,,e4402b7d:x", ("5c1e07a2",), "e4402b7d"),
+            (b"", (), ""),
+            (b",:\xff", (), ""),
+        ],
+    )
+    def test_segments_of_a_prompt_are_decoded(
+        self, value: bytes, shared: tuple[str, ...], own: str
+    ) -> None:
+        """Guards against a request that fails for a header that cannot be read."""
+        head = RequestHead(b"POST", b"/x", [(b"X-Hemlockhall-Prompt-Prefix", value)])
+        assert DIALECT.decode_prompt_segments(head) == PromptSegments(shared, own)
+
     def test_token_counts_are_decoded(self) -> None:
         name = b"X-Hemlockhall-Token-Counts"
         head = RequestHead(b"POST", b"/", [(name, b"1460,80")])
--- /dev/null
+++ b/tests/router/test_crash.py
@@ -0,0 +1,93 @@
+"""Attempts that ended together with an endpoint, at one host without a network."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+
+import pytest
+
+from hemlockhall_router.connection.message import RequestHead
+from hemlockhall_router.process.crash import CONFIRMATION_S, CrashWatch
+from hemlockhall_router.process.dialect import PromptSegments
+from hemlockhall_router.process.directory import Directory
+from hemlockhall_router.process.metric import Metrics
+from hemlockhall_router.request.relay import RoutedRequest
+from hemlockhall_router.version.endpoint import Endpoint
+from hemlockhall_router.version.routing import Route, RouteKind, Service
+from hemlockhall_standins.router.pool import make_directory
+from hemlockhall_standins.virtual_time import VirtualClock
+
+ENDPOINT = Endpoint("d1", "pool", "10.0.0.1", 1, "here", started_ms=1)
+ROUTE = Route("r", b"", b"/", RouteKind.STREAM, 5.0, 0.3, ())
+
+
+def request(*segments: str) -> RoutedRequest:
+    head = RequestHead(b"POST", b"/", [])
+    service = Service("pool", "/", 0)
+    deadline = time.monotonic() + 5.0
+    routed = RoutedRequest(head, b"", ROUTE, service, None, b"r1", deadline)
+    routed.segments = PromptSegments(tuple(segments[:-1]), segments[-1])
+    return routed
+
+
+@pytest.fixture()
+def directory(clock: VirtualClock) -> Directory:
+    result = make_directory()
+    result.add(ENDPOINT)
+    return result
+
+
+@pytest.fixture()
+def watch(directory: Directory) -> CrashWatch:
+    return CrashWatch(directory, Metrics(), time.monotonic)
+
+
+def attempts(watch: CrashWatch, label: str) -> int:
+    return watch._metrics._counters.get("crash_attempts", {}).get(label, 0)
+
+
+class TestCrash:
+    def test_an_endpoint_that_is_found_down_crashed(
+        self, watch: CrashWatch, directory: Directory, clock: VirtualClock
+    ) -> None:
+        watch.record_attempt(request("a", "own"), [ENDPOINT], responded=True)
+        watch.update()
+        assert attempts(watch, "responded") == 0
+        clock.advance(CONFIRMATION_S / 2)
+        directory.set_down("d1", down=True)
+        watch.update()
+        watch.update()
+        assert attempts(watch, "responded") == 1
+
+    def test_one_that_restarted_under_its_id_crashed(
+        self, watch: CrashWatch, directory: Directory
+    ) -> None:
+        watch.record_attempt(request("a", "own"), [ENDPOINT], responded=False)
+        directory.records["d1"].endpoint = replace(ENDPOINT, started_ms=2)
+        watch.update()
+        assert attempts(watch, "waiting") == 1
+
+    def test_one_that_lives_did_not_crash(
+        self, watch: CrashWatch, directory: Directory, clock: VirtualClock
+    ) -> None:
+        """Guards against prompts that are blamed for a broken connection."""
+        watch.record_attempt(request("a", "own"), [ENDPOINT], responded=True)
+        clock.advance(CONFIRMATION_S)
+        watch.update()
+        directory.set_down("d1", down=True)
+        watch.update()
+        assert attempts(watch, "responded") == 0
+        assert attempts(watch, "endpoint_lives") == 1
+
+    def test_one_that_was_leaving_did_not_crash(
+        self, watch: CrashWatch, directory: Directory, clock: VirtualClock
+    ) -> None:
+        """Guards against prompts that are blamed for an endpoint that exits."""
+        directory.record_leaving(ENDPOINT)
+        watch.record_attempt(request("a", "own"), [ENDPOINT], responded=True)
+        directory.set_down("d1", down=True)
+        watch.update()
+        clock.advance(CONFIRMATION_S)
+        watch.update()
+        assert attempts(watch, "responded") == 0
--- a/tests/router/test_rejection.py
+++ b/tests/router/test_rejection.py
@@ -24,6 +24,7 @@
 from hemlockhall_router.policy.data_centre_link import DataCentreLinks
 from hemlockhall_router.process.budget import RetryBudget
 from hemlockhall_router.process.chooser import Chooser
+from hemlockhall_router.process.crash import CrashWatch
 from hemlockhall_router.process.metric import Metrics
 from hemlockhall_router.request.plain import PlainRelay
 from hemlockhall_router.request.relay import (
@@ -386,6 +387,7 @@
         limits,
         statements,
         admission,
+        CrashWatch(directory, Metrics(), time.monotonic),
     )
     return Host(context, admission, endpoints)
 
