Draw no port of loopback twice for the routers of a test

The harness draws three ports for a router before it listens on the first, at random from 12,000: by chance one of some 4,000 routers gets the same port twice, and a suite starts about that many; another process could draw it as well.

Each process now has ports of its own and returns them in turns.

--- a/packages/standins/src/hemlockhall_standins/router/harness.py
+++ b/packages/standins/src/hemlockhall_standins/router/harness.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import random
 import socket
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from functools import cache
+from itertools import cycle
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -42,27 +43,44 @@
 # Long, so that a busy machine fails no test that asserts no time.
 WAIT_S = 20.0
 HOST = "hall.example"
-# Range of listening ports, end exclusive, below the ephemeral ports of Linux.
+# Range of listening ports, end exclusive, below the ephemeral ports of Linux: an
+# outgoing connection could take one of those before a router listens on it.
 LISTEN_PORTS = (20_000, 32_000)
-# Apart from the generator that tests seed: two processes with the same seed would try
-# the same ports at the same time.
-_port_random = random.Random()  # noqa: S311
+# Ports of one process. It listens on the first of them, so that no other process that
+# runs at the same time draws from the same ones.
+PORTS_PER_PROCESS = 1000
+
+
+@cache
+def _reserve_ports() -> tuple[socket.socket, Iterator[int]]:
+    """Return the ports of this process in turns, and the socket that holds them."""
+    for first in range(*LISTEN_PORTS, PORTS_PER_PROCESS):
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+            guard.listen()
+        except OSError:
+            guard.close()
+            continue
+        return guard, cycle(range(first + 1, first + PORTS_PER_PROCESS))
+    raise RuntimeError("too many test processes: no ports are left; end some of them")
 
 
 def free_port() -> int:
     """Return an unused port of loopback.
 
-    It is below the ephemeral range: an outgoing connection could take a port of
-    that range before the caller listens on it.
+    It returns a port again only after all others of this process: callers draw several
+    before they listen on the first.
     """
-    while True:
-        port = _port_random.randrange(*LISTEN_PORTS)
+    _, ports = _reserve_ports()
+    for port in ports:
         with socket.socket() as sock:
             try:
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
             return port
+    raise AssertionError("the ports never end")
 
 
 @dataclass
