--- a/packages/router/src/hemlockhall_router/membership/clock.py
+++ b/packages/router/src/hemlockhall_router/membership/clock.py
@@ -35,6 +35,10 @@
         """Return the time in milliseconds, as sent to other hosts."""
         return int(self.now() * 1000)
 
+    def at_ms(self, at: float) -> int:
+        """Return the time in milliseconds that a monotonic time stands for."""
+        return int((at + self._offset) * 1000)
+
     def adopt(self, time_ms: int) -> None:
         """Step to the time in another host's message, if that is later."""
         self._offset = max(self._offset, time_ms / 1000 - self._clock())
--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -16,6 +16,7 @@
 from hemlockhall_router.membership.figures import Figures, KnownFigures, sum_sources
 from hemlockhall_router.membership.message import (
     Contact,
+    CrashEvidence,
     CustomerDemand,
     DataCentre,
     Digest,
@@ -26,6 +27,7 @@
     Report,
     RequestLimit,
     RetryUsage,
+    SegmentVerdict,
     ServiceDemand,
     Summary,
     TableVersion,
@@ -97,6 +99,8 @@
     leaving_endpoints: list[LeavingNotice] = field(default_factory=list)
     demands: list[ServiceDemand] = field(default_factory=list)
     customers: list[CustomerDemand] = field(default_factory=list)
+    crashes: list[CrashEvidence] = field(default_factory=list)
+    verdicts: list[SegmentVerdict] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -383,6 +387,8 @@
             demands=state.demands,
             customers=state.customers,
             demand_hosts=1,
+            crashes=state.crashes,
+            verdicts=state.verdicts,
         )
 
     def _build_digest(self, report: Report, now: float) -> Digest:
@@ -418,6 +424,8 @@
             demands=figures.demands,
             customers=figures.customers,
             demand_hosts=figures.hosts,
+            crashes=state.crashes,
+            verdicts=state.verdicts,
         )
 
     def _send_summaries(self, now: float) -> None:
@@ -453,6 +461,8 @@
                     demands=figures.demands,
                     customers=figures.customers,
                     demand_hosts=figures.hosts,
+                    crashes=self._local_state.crashes,
+                    verdicts=self._local_state.verdicts,
                 )
                 self._send(contact.address, message)
 
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -46,12 +46,14 @@
     from hemlockhall_router.membership.exchange import LocalState
     from hemlockhall_router.membership.message import (
         Contact,
+        CrashEvidence,
         CustomerDemand,
         LayerUpdate,
         LeavingNotice,
         Load,
         RequestLimit,
         RetryUsage,
+        SegmentVerdict,
         ServiceDemand,
     )
     from hemlockhall_router.membership.share import Shares
@@ -110,6 +112,9 @@
         Called with the request limits of endpoints that another host knows.
     on_leaving : callable
         Called with endpoints that stated to another host that they leave.
+    on_crashes : callable
+        Called with the evidence and the verdicts on prompt segments that another host
+        knows.
     metrics : Metrics
         Counts dropped messages.
     """
@@ -126,6 +131,7 @@
         on_layer_updates: Callable[[list[LayerUpdate]], None],
         on_limits: Callable[[list[RequestLimit]], None],
         on_leaving: Callable[[list[LeavingNotice]], None],
+        on_crashes: Callable[[list[CrashEvidence], list[SegmentVerdict]], None],
         metrics: Metrics,
     ) -> None:
         self._own = own
@@ -136,6 +142,7 @@
         self._on_layer_updates = on_layer_updates
         self._on_limits = on_limits
         self._on_leaving = on_leaving
+        self._on_crashes = on_crashes
         self._metrics = metrics
         self._exchange = Exchange(
             own,
@@ -366,6 +373,8 @@
                 self._on_limits(message.limits)
             if message.leaving:
                 self._on_leaving(message.leaving)
+            if message.crashes or message.verdicts:
+                self._on_crashes(message.crashes, message.verdicts)
             self._fetch_newer(message)
 
     def _drop(self, cause: str) -> None:
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -127,6 +127,47 @@
     started_ms: int
 
 
+class CrashEvidence(msgspec.Struct, frozen=True, array_like=True):
+    """An endpoint that crashed under a request with a prompt segment.
+
+    ``segment`` is a 64-bit key of the segment at a service, whose 32-bit key is
+    ``service``. ``crash`` is a 32-bit key of the incarnation that crashed, ``request``
+    one that repeats of the request have too. It crashed at ``at_ms`` of the shared
+    clock. ``responded`` is true if the head of a response to the request had arrived.
+    """
+
+    segment: int
+    service: int
+    crash: int
+    request: int
+    at_ms: int
+    responded: bool
+
+
+class SegmentVerdict(msgspec.Struct, frozen=True, array_like=True):
+    """Whether requests with a prompt segment are refused.
+
+    A quarantine rests on crashes since ``since_ms`` and ends at ``expires_at_ms`` of
+    the shared clock. A segment that is released has ``expires_at_ms`` equal to
+    ``decided_at_ms``. Of two verdicts the one with the higher ``rank`` holds.
+    """
+
+    segment: int
+    since_ms: int
+    decided_at_ms: int
+    expires_at_ms: int
+
+    @property
+    def quarantined(self) -> bool:
+        """Whether it is a quarantine, which may have ended, and no release."""
+        return self.expires_at_ms > self.decided_at_ms
+
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """The order of verdicts on a segment: a later one ranks higher."""
+        return (self.decided_at_ms, not self.quarantined)
+
+
 class ClassDemand(msgspec.Struct, frozen=True, array_like=True):
     """What callers ask for in the requests of one priority.
 
@@ -200,9 +241,10 @@
     All kinds of messages end with ``clock_ms``, the sender's shared clock, ``limits``,
     the request limits of endpoints, ``leaving``, endpoints that shut down without a
     notice in the store, ``demands`` and ``customers``, the figures for overload control
-    (the sender's own or sums, as with ``loads``), and ``demand_hosts``, the number of
-    hosts whose figures these two include. A host of an older version does not send
-    them all, and one that does not send ``demand_hosts`` counts as 0 hosts.
+    (the sender's own or sums, as with ``loads``), ``demand_hosts``, the number of hosts
+    whose figures these two include, ``crashes``, the evidence against prompt segments,
+    and ``verdicts`` on them. A host of an older version does not send them all, and one
+    that does not send ``demand_hosts`` counts as 0 hosts.
     """
 
     protocol: int = PROTOCOL_VERSION
@@ -227,6 +269,8 @@
     demands: list[ServiceDemand] = []
     customers: list[CustomerDemand] = []
     demand_hosts: int = 0
+    crashes: list[CrashEvidence] = []
+    verdicts: list[SegmentVerdict] = []
 
 
 class Digest(Message, frozen=True, array_like=True, kw_only=True, tag="digest"):
@@ -244,6 +288,8 @@
     demands: list[ServiceDemand] = []
     customers: list[CustomerDemand] = []
     demand_hosts: int = 0
+    crashes: list[CrashEvidence] = []
+    verdicts: list[SegmentVerdict] = []
 
 
 class Summary(Message, frozen=True, array_like=True, kw_only=True, tag="summary"):
@@ -256,6 +302,8 @@
     demands: list[ServiceDemand] = []
     customers: list[CustomerDemand] = []
     demand_hosts: int = 0
+    crashes: list[CrashEvidence] = []
+    verdicts: list[SegmentVerdict] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -317,6 +365,7 @@
     "PROTOCOL_VERSION",
     "ClassDemand",
     "Contact",
+    "CrashEvidence",
     "CustomerDemand",
     "TableVersion",
     "Digest",
@@ -328,6 +377,7 @@
     "DataCentre",
     "Report",
     "RequestLimit",
+    "SegmentVerdict",
     "ServiceDemand",
     "Summary",
     "RetryUsage",
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -0,0 +1,61 @@
+"""Whether crashes of endpoints show that a prompt segment causes them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hemlockhall_router.membership.message import CrashEvidence
+
+# Different requests with a segment, under each of which an endpoint crashed at another
+# time, from which the segment is found to cause it: if endpoints had begun to respond
+# to them, and if they had not. Requests that wait are many more than those.
+MIN_REQUESTS = 3
+MIN_WAITING_REQUESTS = 5
+# Endpoints that crash within this time count as one crash: a rack, or a data centre,
+# may have lost its power.
+CRASH_SPACING_MS = 100
+
+
+def is_fatal(evidence: Iterable[CrashEvidence]) -> bool:
+    """Return whether a segment crashes endpoints.
+
+    Only the first crash under each request counts. A request that waits at an endpoint
+    which crashes for another reason is repeated, and may meet further crashes.
+
+    Parameters
+    ----------
+    evidence : iterable of CrashEvidence
+        Crashes under requests with the segment, none of which an endpoint served since
+        the first of them.
+    """
+    first: dict[int, CrashEvidence] = {}
+    for item in evidence:
+        known = first.get(item.request)
+        if known is None or item.at_ms < known.at_ms:
+            first[item.request] = item
+    responded = [item.at_ms for item in first.values() if item.responded]
+    if _count_spaced(responded) >= MIN_REQUESTS:
+        return True
+    every = [item.at_ms for item in first.values()]
+    return _count_spaced(every) >= MIN_WAITING_REQUESTS
+
+
+def _count_spaced(times_ms: list[int]) -> int:
+    """Return how many of the times are ``CRASH_SPACING_MS`` apart."""
+    count, last_ms = 0, float("-inf")
+    for time_ms in sorted(times_ms):
+        if time_ms - last_ms < CRASH_SPACING_MS:
+            continue
+        count, last_ms = count + 1, time_ms
+    return count
+
+
+__all__ = [
+    "CRASH_SPACING_MS",
+    "MIN_REQUESTS",
+    "MIN_WAITING_REQUESTS",
+    "is_fatal",
+]
--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -14,6 +14,7 @@
 
     from hemlockhall_router.process.directory import Directory
     from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.process.quarantine import Quarantine
     from hemlockhall_router.request.relay import RoutedRequest
     from hemlockhall_router.version.endpoint import Endpoint
 
@@ -28,11 +29,15 @@
 
 @dataclass(slots=True)
 class _BrokenAttempt:
-    """An attempt that ended before its first event; it is dropped at ``deadline``."""
+    """An attempt that ended at ``at`` before its first event, a monotonic time.
+
+    It is dropped at ``deadline``.
+    """
 
     request: RoutedRequest
     endpoints: Sequence[Endpoint]
     responded: bool
+    at: float
     deadline: float
 
 
@@ -47,13 +52,20 @@
         Counts the attempts.
     clock : callable
         Returns the monotonic time in seconds.
+    quarantine : Quarantine
+        Gets the crashes as evidence.
     """
 
     def __init__(
-        self, directory: Directory, metrics: Metrics, clock: Callable[[], float]
+        self,
+        directory: Directory,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        quarantine: Quarantine,
     ) -> None:
         self._directory = directory
         self._metrics = metrics
+        self._quarantine = quarantine
         self._clock = clock
         self._pending: list[_BrokenAttempt] = []
 
@@ -74,8 +86,10 @@
         if len(self._pending) >= MAX_PENDING:
             self._metrics.count("crash_attempts", "left_out")
             return
-        deadline = self._clock() + CONFIRMATION_S
-        self._pending.append(_BrokenAttempt(request, endpoints, responded, deadline))
+        now = self._clock()
+        self._pending.append(
+            _BrokenAttempt(request, endpoints, responded, now, now + CONFIRMATION_S)
+        )
 
     def update(self) -> None:
         """Look for the endpoints of broken attempts; called periodically."""
@@ -111,6 +125,9 @@
             responded=attempt.responded,
             segments=request.segments.shared[:MAX_LOGGED_SEGMENTS],
         )
+        self._quarantine.record_crash(
+            request, endpoint, attempt.at, responded=attempt.responded
+        )
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -11,6 +11,7 @@
 
 from hemlockhall_router.connection.caller import CallerLimits, CallerReader
 from hemlockhall_router.connection.error import CallerDisconnectedError, CallerError
+from hemlockhall_router.process.quarantine import QUARANTINED_TEXT
 from hemlockhall_router.request.plain import PlainRelay
 from hemlockhall_router.request.reason import RefusalReason
 from hemlockhall_router.request.relay import RoutedRequest
@@ -24,6 +25,7 @@
     from anyio.abc import SocketStream
 
     from hemlockhall_router.connection.message import RequestHead
+    from hemlockhall_router.membership.message import SegmentVerdict
     from hemlockhall_router.process.admission import Admission
     from hemlockhall_router.process.dialect import TokenCounts
     from hemlockhall_router.request.relay import RelayContext
@@ -205,6 +207,10 @@
                 )
             await response.local_reply(exc.status, exc.text, retry_after_s)
             return
+        verdict = self._context.quarantine.refusal(request)
+        if verdict is not None:
+            await self._refuse_quarantined(request, verdict, response)
+            return
         decision = self._admission.decide(request)
         if not decision.admitted:
             self._context.metrics.count_refusal(RefusalReason.NO_ROOM)
@@ -218,6 +224,20 @@
         finally:
             self._admission.end(request)
 
+    async def _refuse_quarantined(
+        self, request: RoutedRequest, verdict: SegmentVerdict, response: ResponseWriter
+    ) -> None:
+        self._context.metrics.count_refusal(RefusalReason.QUARANTINED)
+        retry_after_s = self._context.quarantine.retry_after_s(verdict)
+        logger.info(
+            "request refused",
+            request=request.id.decode("latin-1"),
+            reason=RefusalReason.QUARANTINED.value,
+            segment=f"{verdict.segment:016x}",
+            retry_after_s=round(retry_after_s, 1),
+        )
+        await response.local_reply(503, QUARANTINED_TEXT, retry_after_s)
+
     async def _run_relay(
         self, request: RoutedRequest, response: ResponseWriter
     ) -> None:
--- /dev/null
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -0,0 +1,524 @@
+"""Prompt segments that crash endpoints, and the requests refused for them."""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from math import inf
+from typing import TYPE_CHECKING, Protocol
+
+from loguru import logger
+
+from hemlockhall_router.membership.message import (
+    CrashEvidence,
+    SegmentVerdict,
+    endpoint_key,
+    service_key,
+)
+from hemlockhall_router.policy.crash import MIN_REQUESTS, is_fatal
+from hemlockhall_router.process.setting import QuarantineSection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hemlockhall_router.membership.clock import SharedClock
+    from hemlockhall_router.membership.share import Shares
+    from hemlockhall_router.process.directory import Directory
+    from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.request.relay import RoutedRequest
+    from hemlockhall_router.version.endpoint import Endpoint
+
+# Crashes are forgotten after this time without a verdict.
+EVIDENCE_TTL_MS = 600_000
+# Time after a crash in which a segment that was served shortly before is not blamed:
+# its other requests are about to be served again.
+SERVED_RECENTLY_MS = 10_000
+SERVED_WAIT_MS = 1000
+# Segments with evidence, evidence of each, segments known to be served, and verdicts
+# that are kept. The least recently used go first.
+MAX_SUSPECTS = 4096
+MAX_EVIDENCE = 8
+MAX_SERVED = 4096
+MAX_VERDICTS = 64
+# Segments of one prompt that a crash is evidence against.
+MAX_PROMPT_SUSPECTS = 32
+# Time for which evidence and verdicts that are new to this host are passed on, and how
+# many go in one message. Older verdicts follow in turns.
+NEWS_MS = 3000
+MAX_NEWS = 256
+MAX_EVIDENCE_SENT = 4
+MAX_VERDICTS_SENT = 2
+# A segment whose quarantine has ended gets one request in each such time, at one host,
+# until an endpoint served one.
+TRIAL_INTERVAL_MS = 10_000
+# Callers that are refused are told to come back within so many seconds of the end.
+CALLER_SPREAD_S = 5.0
+# Endpoints that may crash under one request: having begun to respond to it, or not. The
+# request is proven if each of its segments was served, and suspected if endpoints
+# crashed under others with one of its segments.
+PROVEN_CRASHES = (3, inf)
+UNPROVEN_CRASHES = (2, 3)
+SUSPECTED_CRASHES = (1, 1)
+# Tells callers what to change.
+QUARANTINED_TEXT = (
+    "a part of the prompt crashes endpoints; the request has not run: "
+    "send it without that part, or come back later"
+)
+
+
+class Peers(Protocol):
+    """What the other hosts agree on."""
+
+    @property
+    def shared_clock(self) -> SharedClock:
+        """The clock on which the hosts agree."""
+
+    @property
+    def shares(self) -> Shares:
+        """Which slots this host owns."""
+
+
+@dataclass(slots=True)
+class _Evidence:
+    """Evidence with the shared time from which it counts, and is known here."""
+
+    item: CrashEvidence
+    counts_from_ms: int
+    learned_ms: int
+    sent: int = 0
+
+
+@dataclass(slots=True)
+class _Verdict:
+    """A verdict, when this host learned of it, and the last trial slot it used."""
+
+    item: SegmentVerdict
+    learned_ms: int
+    trial_slot: int = -1
+
+
+@dataclass(slots=True)
+class CrashCount:
+    """Endpoints that broke off one request before it was served, by incarnation.
+
+    Those in ``responded`` had begun to respond to it.
+    """
+
+    responded: set[tuple[str, int]] = field(default_factory=set)
+    waiting: set[tuple[str, int]] = field(default_factory=set)
+
+    def add(self, endpoint: Endpoint, *, responded: bool) -> None:
+        """Add an endpoint; one that breaks off several attempts counts once."""
+        (self.responded if responded else self.waiting).add(endpoint.incarnation)
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """A segment that was in the prompt of requests under which endpoints crashed."""
+
+    evidence: dict[tuple[int, int], _Evidence] = field(default_factory=dict)
+    last_at_ms: int = 0
+
+
+class Quarantine:
+    """Finds prompt segments that crash endpoints, with the other hosts.
+
+    A crash is evidence against each segment of the prompt that no endpoint has served
+    since. Hosts send each other evidence and verdicts; any of them may reach one.
+
+    Parameters
+    ----------
+    directory : Directory
+        Its active streams with a segment end when that is quarantined.
+    peers : Peers
+        The clock and the shares of slots on which the hosts agree.
+    metrics : Metrics
+        Counts evidence and verdicts; has a gauge of the segments in quarantine.
+    cfg : QuarantineSection, optional
+        The settings; may be replaced.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        peers: Peers,
+        metrics: Metrics,
+        cfg: QuarantineSection | None = None,
+    ) -> None:
+        self.cfg = cfg or QuarantineSection()
+        self._directory = directory
+        self._peers = peers
+        self._metrics = metrics
+        # Called when this host has reached a verdict.
+        self.on_verdict: Callable[[], None] = lambda: None
+        self._suspects: OrderedDict[int, _Suspect] = OrderedDict()
+        self._served: OrderedDict[int, int] = OrderedDict()
+        self._service_served: dict[int, int] = {}
+        self._verdicts: OrderedDict[int, _Verdict] = OrderedDict()
+        # Crashes during which an endpoint was responding to a request: those that only
+        # waited there did not cause them.
+        self._explained: OrderedDict[int, None] = OrderedDict()
+        # Evidence to tell other hosts, in the order of its arrival, and the keys of
+        # suspects with enough of it for a verdict.
+        self._news: deque[_Evidence] = deque(maxlen=MAX_NEWS)
+        self._judged: set[int] = set()
+        self._verdict_offset = 0
+        metrics.add_gauge("quarantined_segments", "all", self._count_quarantined)
+        metrics.add_gauge("suspected_segments", "all", lambda: len(self._suspects))
+
+    def refusal(self, request: RoutedRequest) -> SegmentVerdict | None:
+        """Return the verdict for which a request must not be sent, or None.
+
+        A segment whose quarantine has ended may be tried by the request.
+        """
+        if not self._verdicts or not self.cfg.enabled:
+            return None
+        now_ms = self._now_ms()
+        for key in segment_keys(request):
+            verdict = self._verdicts.get(key)
+            if verdict is None or not verdict.item.quarantined:
+                continue
+            if now_ms < verdict.item.expires_at_ms:
+                return verdict.item
+            if key in request.tried_segments:
+                continue
+            if not self._may_try(verdict, now_ms):
+                return verdict.item
+            request.tried_segments.add(key)
+        return None
+
+    def retry_after_s(self, verdict: SegmentVerdict) -> float:
+        """Return the seconds after which to tell a refused caller to come back."""
+        left_ms = verdict.expires_at_ms - self._now_ms()
+        wait_s = max(left_ms, TRIAL_INTERVAL_MS) / 1000
+        return wait_s + random.uniform(0.0, CALLER_SPREAD_S)  # noqa: S311
+
+    def may_repeat(self, request: RoutedRequest, crashes: CrashCount) -> bool:
+        """Return whether a request under which endpoints crashed is sent again."""
+        if not self.cfg.enabled:
+            return True
+        own = request_key(request)
+        limits = PROVEN_CRASHES
+        for key in segment_keys(request):
+            verdict = self._verdicts.get(key)
+            if verdict is not None and verdict.item.quarantined:
+                return False
+            if key not in self._served:
+                limits = min(limits, UNPROVEN_CRASHES)
+            suspect = self._suspects.get(key)
+            if suspect is not None and any(
+                item.item.request != own for item in self._counting(suspect)
+            ):
+                limits = SUSPECTED_CRASHES
+        responded, waiting = limits
+        return len(crashes.responded) < responded and len(crashes.waiting) < waiting
+
+    def record_served(self, request: RoutedRequest) -> None:
+        """Record that an endpoint served a request and did not crash under it."""
+        now_ms = self._now_ms()
+        self._service_served[service_key(request.service.name)] = now_ms
+        for key in segment_keys(request):
+            self._served[key] = now_ms
+            self._served.move_to_end(key)
+            self._suspects.pop(key, None)
+            verdict = self._verdicts.get(key)
+            if verdict is not None and verdict.item.quarantined:
+                self._release(key, now_ms, "served here")
+        while len(self._served) > MAX_SERVED:
+            self._served.popitem(last=False)
+
+    def record_crash(
+        self, request: RoutedRequest, endpoint: Endpoint, at: float, *, responded: bool
+    ) -> None:
+        """Record that an endpoint crashed under a request at a monotonic time."""
+        shared_clock = self._peers.shared_clock
+        at_ms = shared_clock.at_ms(at)
+        crash = crash_key(endpoint)
+        service, own = service_key(request.service.name), request_key(request)
+        for key in segment_keys(request)[:MAX_PROMPT_SUSPECTS]:
+            self._add(CrashEvidence(key, service, crash, own, at_ms, responded))
+
+    def apply(
+        self, evidence: list[CrashEvidence], verdicts: list[SegmentVerdict]
+    ) -> None:
+        """Apply what another host knows."""
+        for item in evidence:
+            self._add(item)
+        for item in verdicts:
+            self._apply_verdict(item)
+
+    def update(self) -> None:
+        """Reach verdicts and forget what is over; called periodically."""
+        now_ms = self._now_ms()
+        while self._suspects:
+            key, suspect = next(iter(self._suspects.items()))
+            if now_ms - suspect.last_at_ms <= EVIDENCE_TTL_MS:
+                break
+            del self._suspects[key]
+        while self._news and now_ms - self._news[0].learned_ms > NEWS_MS:
+            self._news.popleft()
+        for key in list(self._judged):
+            suspect = self._suspects.get(key)
+            if suspect is None:
+                self._judged.discard(key)
+                continue
+            self._judge(key, suspect, now_ms)
+        for key, verdict in list(self._verdicts.items()):
+            if self.is_over(verdict.item):
+                del self._verdicts[key]
+                logger.info("verdict forgotten", segment=f"{key:016x}")
+
+    def evidence(self) -> list[CrashEvidence]:
+        """Return the evidence to tell other hosts now, ``MAX_EVIDENCE_SENT`` at most.
+
+        All that is new gets its turn; that with more crashes gets more of them.
+        """
+        news = []
+        for item in self._news:
+            suspect = self._suspects.get(item.item.segment)
+            counting = self._counting(suspect) if suspect is not None else []
+            if item not in counting:
+                continue
+            weight = len(counting) if item.item.responded else 1
+            rank = (item.sent // weight, -weight, -item.item.at_ms)
+            news.append((rank, item))
+        news.sort(key=lambda entry: entry[0])
+        found = []
+        for _, item in news[:MAX_EVIDENCE_SENT]:
+            item.sent += 1
+            found.append(item.item)
+        return found
+
+    def verdicts(self) -> list[SegmentVerdict]:
+        """Return the verdicts to tell other hosts now, ``MAX_VERDICTS_SENT`` at most.
+
+        Those that are new come first, the others in turns.
+        """
+        if not self._verdicts:
+            return []
+        now_ms = self._now_ms()
+        news, others = [], []
+        for verdict in self._verdicts.values():
+            recent = now_ms - verdict.learned_ms < NEWS_MS
+            (news if recent else others).append(verdict.item)
+        self._verdict_offset += 1
+        found = []
+        for group in (news, others):
+            offset = self._verdict_offset % len(group) if group else 0
+            found += group[offset:] + group[:offset]
+        return found[:MAX_VERDICTS_SENT]
+
+    def quarantined(self) -> list[SegmentVerdict]:
+        """Return the verdicts that hold now."""
+        now_ms = self._now_ms()
+        found = []
+        for verdict in self._verdicts.values():
+            if verdict.item.quarantined and now_ms < verdict.item.expires_at_ms:
+                found.append(verdict.item)
+        return found
+
+    def known(self) -> list[SegmentVerdict]:
+        """Return all verdicts that this host knows."""
+        return [verdict.item for verdict in self._verdicts.values()]
+
+    def is_over(self, verdict: SegmentVerdict) -> bool:
+        """Return whether a verdict may be forgotten: nobody tried the segment since."""
+        return self._now_ms() > verdict.expires_at_ms + self._hold_ms
+
+    @property
+    def _hold_ms(self) -> int:
+        return int(self.cfg.hold_s * 1000)
+
+    def _now_ms(self) -> int:
+        return self._peers.shared_clock.now_ms()
+
+    def _count_quarantined(self) -> float:
+        return len(self.quarantined())
+
+    def _counting(self, suspect: _Suspect) -> list[_Evidence]:
+        """Return the evidence that counts against a segment now."""
+        now_ms = self._now_ms()
+        found = []
+        for item in suspect.evidence.values():
+            if not item.counts_from_ms <= now_ms <= item.item.at_ms + EVIDENCE_TTL_MS:
+                continue
+            if item.item.responded or item.item.crash not in self._explained:
+                found.append(item)
+        return found
+
+    def _add(self, item: CrashEvidence) -> None:
+        now_ms = self._now_ms()
+        served_ms = self._served.get(item.segment)
+        if served_ms is not None and served_ms >= item.at_ms:
+            return
+        if now_ms - item.at_ms > EVIDENCE_TTL_MS:
+            return
+        verdict = self._verdicts.get(item.segment)
+        if verdict is not None and not verdict.item.quarantined:
+            # Another host may not have heard of the release yet.
+            if item.at_ms <= verdict.item.decided_at_ms:
+                return
+        counts_from_ms = item.at_ms
+        if served_ms is not None and item.at_ms - served_ms < SERVED_RECENTLY_MS:
+            counts_from_ms += SERVED_WAIT_MS
+        elif item.responded:
+            self._explained[item.crash] = None
+            while len(self._explained) > MAX_SUSPECTS:
+                self._explained.popitem(last=False)
+        suspect = self._suspects.setdefault(item.segment, _Suspect())
+        self._suspects.move_to_end(item.segment)
+        name = (item.crash, item.request)
+        known = suspect.evidence.get(name)
+        if known is not None and (known.item.responded or not item.responded):
+            return
+        if known is None:
+            label = "responded" if item.responded else "waiting"
+            self._metrics.count("crash_evidence", label)
+        suspect.evidence[name] = entry = _Evidence(item, counts_from_ms, now_ms)
+        suspect.last_at_ms = max(suspect.last_at_ms, item.at_ms)
+        self._news.append(entry)
+        while len(suspect.evidence) > MAX_EVIDENCE:
+            del suspect.evidence[next(iter(suspect.evidence))]
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
+        if self._is_tried(item.segment) or len(suspect.evidence) >= MIN_REQUESTS:
+            self._judged.add(item.segment)
+            self._judge(item.segment, suspect, now_ms)
+
+    def _is_tried(self, key: int) -> bool:
+        """Return whether a segment was quarantined, and is or will be tried."""
+        verdict = self._verdicts.get(key)
+        return verdict is not None and verdict.item.quarantined
+
+    def _judge(self, key: int, suspect: _Suspect, now_ms: int) -> None:
+        """Quarantine a segment if the evidence suffices."""
+        evidence = [item.item for item in self._counting(suspect)]
+        if not evidence or not self.cfg.enabled:
+            return
+        since_ms = min(item.at_ms for item in evidence)
+        if self._is_tried(key):
+            ended_ms = self._verdicts[key].item.expires_at_ms
+            # One crash during a trial is enough.
+            if now_ms < ended_ms or max(item.at_ms for item in evidence) < ended_ms:
+                return
+        elif not is_fatal(evidence):
+            return
+        elif self._service_served.get(evidence[0].service, -1) < since_ms:
+            # While no request of the service is served, nothing tells the segment from
+            # the others. Any that was served since had other segments.
+            return
+        self._metrics.count("verdicts", "quarantined")
+        logger.warning(
+            "prompt segment quarantined",
+            segment=f"{key:016x}",
+            crashes=len({item.crash for item in evidence}),
+            requests=len({item.request for item in evidence}),
+            since_ms=now_ms - since_ms,
+            seconds=self.cfg.hold_s,
+        )
+        expires_ms = now_ms + self._hold_ms
+        self._set(SegmentVerdict(key, since_ms, now_ms, expires_ms))
+        self.on_verdict()
+
+    def _apply_verdict(self, item: SegmentVerdict) -> None:
+        """Apply another host's verdict unless this host has a later one."""
+        known = self._verdicts.get(item.segment)
+        if known is not None and known.item.rank >= item.rank:
+            return
+        now_ms = self._now_ms()
+        # The settings or the clock of the other host may differ.
+        latest_ms = now_ms + self._hold_ms
+        if item.expires_at_ms > latest_ms:
+            item = SegmentVerdict(
+                item.segment, item.since_ms, item.decided_at_ms, latest_ms
+            )
+        if self.is_over(item):
+            return
+        if item.quarantined and self._served.get(item.segment, 0) > item.since_ms:
+            decided_ms = max(now_ms, item.decided_at_ms + 1)
+            self._release(item.segment, decided_ms, "served here since")
+            return
+        if item.quarantined != (known is not None and known.item.quarantined):
+            self._metrics.count("verdicts", "heard")
+            logger.info(
+                "prompt segment quarantined elsewhere"
+                if item.quarantined
+                else "prompt segment released elsewhere",
+                segment=f"{item.segment:016x}",
+            )
+        self._set(item)
+
+    def _release(self, key: int, now_ms: int, cause: str) -> None:
+        """End the quarantine of a segment that an endpoint served."""
+        self._metrics.count("verdicts", "released")
+        logger.info("prompt segment released", segment=f"{key:016x}", cause=cause)
+        self._set(SegmentVerdict(key, 0, now_ms, now_ms))
+        self.on_verdict()
+
+    def _set(self, item: SegmentVerdict) -> None:
+        self._verdicts[item.segment] = _Verdict(item, self._now_ms())
+        self._verdicts.move_to_end(item.segment)
+        while len(self._verdicts) > MAX_VERDICTS:
+            oldest = next(iter(self._verdicts))
+            for key, verdict in self._verdicts.items():
+                if not verdict.item.quarantined:
+                    oldest = key
+                    break
+            del self._verdicts[oldest]
+        if not item.quarantined:
+            self._suspects.pop(item.segment, None)
+            return
+        for stream in list(self._directory.active_streams):
+            if item.segment in stream.segment_keys and not stream.first_event_seen:
+                stream.request_move("a segment of the prompt is quarantined")
+
+    def _may_try(self, verdict: _Verdict, now_ms: int) -> bool:
+        """Take this host's trial of a segment whose quarantine has ended, if any."""
+        slot = now_ms // TRIAL_INTERVAL_MS
+        if verdict.trial_slot == slot:
+            return False
+        key = f"trial/{verdict.item.segment}/{slot}"
+        if not self._peers.shares.owns(key):
+            return False
+        verdict.trial_slot = slot
+        logger.info("prompt segment tried", segment=f"{verdict.item.segment:016x}")
+        return True
+
+
+def segment_keys(request: RoutedRequest) -> tuple[int, ...]:
+    """Return the 64-bit keys of the shared segments of a request's prompt.
+
+    They stand for a segment at one service: a prompt that one model cannot process may
+    be sound for another.
+    """
+    if request.segment_keys is None:
+        keys = []
+        for segment in dict.fromkeys(request.segments.shared):
+            text = f"{request.service.name}/{segment}".encode()
+            keys.append(int.from_bytes(blake2b(text, digest_size=8).digest()))
+        request.segment_keys = tuple(keys)
+    return request.segment_keys
+
+
+def request_key(request: RoutedRequest) -> int:
+    """Return a 32-bit key that repeats of a request by its caller have too."""
+    own = request.segments.own
+    return zlib.crc32(own.encode() if own else request.id)
+
+
+def crash_key(endpoint: Endpoint) -> int:
+    """Return a 32-bit key of the end of an endpoint's incarnation."""
+    return zlib.crc32(b"%d" % endpoint.started_ms, endpoint_key(endpoint.id))
+
+
+__all__ = [
+    "QUARANTINED_TEXT",
+    "CrashCount",
+    "Quarantine",
+    "crash_key",
+    "request_key",
+    "segment_keys",
+]
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -21,6 +21,7 @@
 from hemlockhall_router.membership.tally import MAX_EVENT_AGE_MS
 from hemlockhall_router.policy.data_centre_link import DataCentreLinks
 from hemlockhall_router.process.admission import Admission
+from hemlockhall_router.process.archive import VerdictArchive
 from hemlockhall_router.process.budget import RetryBudget
 from hemlockhall_router.process.chooser import Chooser
 from hemlockhall_router.process.crash import CrashWatch
@@ -34,6 +35,7 @@
 from hemlockhall_router.process.outage import StoreOutage
 from hemlockhall_router.process.planner import Planner
 from hemlockhall_router.process.prober import Prober
+from hemlockhall_router.process.quarantine import Quarantine
 from hemlockhall_router.process.setting import SettingsError, load_settings
 from hemlockhall_router.process.statement import EndpointStatements
 from hemlockhall_router.process.store import Table
@@ -73,8 +75,8 @@
     ----------
     path : Path
         The settings file; reloaded when it changes. The sections ``retry``,
-        ``bounds``, ``limits``, ``rest``, ``admission`` and ``leave`` then take effect,
-        the others only after a restart.
+        ``bounds``, ``limits``, ``rest``, ``admission``, ``quarantine`` and ``leave``
+        then take effect, the others only after a restart.
     settings : RouterSettings
         Its contents.
     metrics : Metrics
@@ -109,6 +111,7 @@
             lambda updates: self.directory.apply_layer_updates(updates),
             lambda statements: self.limits.apply(statements),
             lambda notices: self.directory.apply_leaving(notices),
+            lambda crashes, verdicts: self.quarantine.apply(crashes, verdicts),
             metrics,
         )
         self._routing_watch = self._create_watch(Table.ROUTING, self._routing_changed)
@@ -164,7 +167,14 @@
             self.directory, self.membership, metrics, settings.admission
         )
         self._pool = ConnectionPool()
-        self._crashes = CrashWatch(self.directory, metrics, time.monotonic)
+        self.quarantine = Quarantine(
+            self.directory, self.membership, metrics, settings.quarantine
+        )
+        self._archive = VerdictArchive(self._store, self.quarantine)
+        self.quarantine.on_verdict = self._archive.request_write
+        self._crashes = CrashWatch(
+            self.directory, metrics, time.monotonic, self.quarantine
+        )
         context = RelayContext(
             self._dialect,
             self._pool,
@@ -178,6 +188,7 @@
             self.statements,
             self.admission,
             self._crashes,
+            self.quarantine,
         )
         self.frontend = Frontend(
             context,
@@ -216,6 +227,7 @@
             group.start_soon(self._routing_watch.run)
             group.start_soon(self._endpoints_watch.run)
             group.start_soon(self.membership.run)
+            group.start_soon(self._archive.run)
             group.start_soon(self._planner.run)
             group.start_soon(self._prober.run)
             group.start_soon(self._run_maintenance)
@@ -353,6 +365,8 @@
             leaving_endpoints=self.directory.leaving_notices(),
             demands=self.admission.demands(),
             customers=self.admission.customer_demands(),
+            crashes=self.quarantine.evidence(),
+            verdicts=self.quarantine.verdicts(),
         )
 
     def _probe_suspects(self, keys: list[int]) -> None:
@@ -371,6 +385,7 @@
             self.statements.expire()
             self.directory.process_deadlines()
             self._crashes.update()
+            self.quarantine.update()
             self.directory.set_remote_loads(self.membership.peer_loads())
             await self._pool.close_expired()
 
@@ -394,6 +409,7 @@
         self._timing.bounds = settings.bounds
         self.limits.cfg = settings.limits
         self.statements.cfg = settings.rest
+        self.quarantine.cfg = settings.quarantine
         self.admission.configure(self.routing, settings.admission)
         logger.info("settings reloaded")
 
--- a/packages/router/src/hemlockhall_router/process/setting.py
+++ b/packages/router/src/hemlockhall_router/process/setting.py
@@ -11,6 +11,10 @@
     from pathlib import Path
 
 
+# Longest quarantine of a prompt segment, in seconds.
+MAX_HOLD_S = 86_400.0
+
+
 class SettingsError(Exception):
     """The settings are invalid; the text names the file and, if known, the field."""
 
@@ -119,6 +123,17 @@
     max_customers: int = 4100
 
 
+class QuarantineSection(msgspec.Struct, frozen=True, kw_only=True):
+    """How hosts refuse prompts that crash endpoints.
+
+    Requests with a prompt segment under which endpoints crashed are refused for
+    ``hold_s`` seconds. Then one request at a time is tried.
+    """
+
+    enabled: bool = True
+    hold_s: float = 600.0
+
+
 class LogSection(msgspec.Struct, frozen=True, kw_only=True):
     """Minimum level of log lines."""
 
@@ -141,6 +156,7 @@
     limits: LimitsSection = LimitsSection()
     rest: RestSection = RestSection()
     admission: AdmissionSection = AdmissionSection()
+    quarantine: QuarantineSection = QuarantineSection()
     log: LogSection = LogSection()
 
 
@@ -170,6 +186,14 @@
             raise SettingsError(msg)
     _validate_positive(path, settings)
     _validate_admission(path, settings.admission)
+    hold_s = settings.quarantine.hold_s
+    if not 0 < hold_s <= MAX_HOLD_S:
+        msg = (
+            f"{path}: quarantine.hold_s: must be above 0 and at most "
+            f"{MAX_HOLD_S:.0f}, got {hold_s}; set quarantine.enabled to false "
+            "to refuse no prompts"
+        )
+        raise SettingsError(msg)
     return settings
 
 
@@ -201,6 +225,7 @@
 __all__ = [
     "AdmissionSection",
     "BoundsSection",
+    "QuarantineSection",
     "RouterSettings",
     "SettingsError",
     "load_settings",
--- a/packages/router/src/hemlockhall_router/process/store.py
+++ b/packages/router/src/hemlockhall_router/process/store.py
@@ -14,6 +14,7 @@
     ENDPOINTS = "endpoints"
     HOSTS = "hosts"
     LEASE = "lease"
+    VERDICTS = "verdicts"
 
 
 class StoreError(Exception):
--- a/packages/router/src/hemlockhall_router/request/active_stream.py
+++ b/packages/router/src/hemlockhall_router/request/active_stream.py
@@ -58,12 +58,20 @@
         Whether the request may run again on another path. If not, the stream
         ignores move requests, even if an endpoint on its path seems down:
         leaving would lose it, and its own connection shows whether it broke.
+    segment_keys : tuple of int
+        Keys of the shared segments of its prompt.
     """
 
     def __init__(
-        self, endpoint_ids: list[str], silence_limit_s: float, *, movable: bool
+        self,
+        endpoint_ids: list[str],
+        silence_limit_s: float,
+        *,
+        movable: bool,
+        segment_keys: tuple[int, ...] = (),
     ) -> None:
         self.endpoint_ids = endpoint_ids
+        self.segment_keys = segment_keys
         self.silence_limit_s = silence_limit_s
         self._movable = movable
         self.last_event_at = time.monotonic()
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -12,6 +12,7 @@
     TransportError,
 )
 from hemlockhall_router.policy.retry_reserve import SERVICE_UNAVAILABLE, lacks_room
+from hemlockhall_router.process.quarantine import segment_keys
 from hemlockhall_router.request.active_stream import ActiveStream, MoveRequestedError
 from hemlockhall_router.request.events import EventSplitter
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
@@ -21,6 +22,7 @@
     InFlightTracker,
     RelayContext,
     RoutedRequest,
+    check_quarantine,
     encode_upstream_request,
 )
 from hemlockhall_router.version.endpoint import EndpointStatement
@@ -33,6 +35,9 @@
     from hemlockhall_router.request.events import Event
     from hemlockhall_router.request.timeouts import StreamTimeouts
     from hemlockhall_router.version.path import Path
+# Time after its first event from which an endpoint is known not to crash under a
+# request.
+SERVED_AFTER_S = 0.1
 
 
 class Attempt:
@@ -40,7 +45,8 @@
 
     Its creator must call ``close``, which makes the endpoints stop work on it.
     ``rejected_for_room`` is true if an endpoint rejected it for want of room, and
-    ``responded`` if the head of a response to it arrived.
+    ``responded`` if the head of a response to it arrived. ``served`` is true once its
+    first event arrived and the endpoint did not crash soon after.
     """
 
     def __init__(
@@ -60,11 +66,14 @@
         self.head: ResponseHead | None = None
         self.rejected_for_room = False
         self.responded = False
+        self.served = False
+        self._served_at = float("inf")
         self._statement = EndpointStatement()
         self.active_stream = ActiveStream(
             self.endpoint_ids,
             timeouts.first_event_silence_limit_s,
             movable=request.route.retryable,
+            segment_keys=segment_keys(request),
         )
         self._in_flight = InFlightTracker(
             context.directory,
@@ -90,8 +99,8 @@
         ------
         AttemptFailedError
             If this host has no permit for the endpoint, or one on the path asked for
-            rest or leaves, or the endpoint cannot be reached, refuses, fails, or sends
-            no head in time.
+            rest or leaves, or a segment of the prompt is in quarantine, or the endpoint
+            cannot be reached, refuses, fails, or sends no head in time.
         MoveRequestedError
             If the stream was asked to move meanwhile.
         """
@@ -103,9 +112,10 @@
             )
         try:
             await self._connect()
-            # An endpoint may have asked for rest, or been found to leave, while the
-            # connection was opened.
+            # Meanwhile an endpoint may have asked for rest, or been found to leave, or
+            # the prompt may have been found to crash endpoints.
             statements.check_send(self.path.endpoints)
+            check_quarantine(self._request, self._context)
         except AttemptFailedError:
             limits.give_back(permit)
             raise
@@ -181,6 +191,9 @@
             )
             self._context.metrics.first_event.record(latency_s)
             self._in_flight.prefill_done()
+            self._served_at = time.monotonic() + SERVED_AFTER_S
+        elif time.monotonic() >= self._served_at:
+            self._record_served()
         self._in_flight.record_event()
         self.active_stream.record_event(self._timeouts.event_gap_silence_limit_s)
 
@@ -188,6 +201,7 @@
         """Return the connection to the pool after a complete response."""
         assert self._conn is not None
         assert self.head is not None
+        self._record_served()
         conn, self._conn = self._conn, None
         await self._context.pool.release(
             self.path.first_endpoint.address, conn, self.head
@@ -199,6 +213,12 @@
         if self._conn is not None:
             await self._conn.close()
 
+    def _record_served(self) -> None:
+        """Record that no endpoint crashed under the request."""
+        self.served = True
+        self._served_at = float("inf")
+        self._context.quarantine.record_served(self._request)
+
     async def _connect(self) -> None:
         first = self.path.first_endpoint
         deadline = min(self._request.deadline, time.monotonic() + CONNECT_TIMEOUT_S)
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -16,6 +16,7 @@
 from hemlockhall_router.policy.endpoint_rate import NoRoomError
 from hemlockhall_router.policy.retry_reserve import lacks_room
 from hemlockhall_router.process.limits import NoPermitError
+from hemlockhall_router.process.quarantine import QUARANTINED_TEXT, CrashCount
 from hemlockhall_router.process.statement import EndpointsRestingError
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
 from hemlockhall_router.request.reason import (
@@ -29,6 +30,7 @@
     InFlightTracker,
     RelayContext,
     RoutedRequest,
+    check_quarantine,
     encode_upstream_request,
     reserve_for_retry,
 )
@@ -72,6 +74,9 @@
         # Whether the last attempt sent was rejected for want of room.
         self._rejected_for_room = False
         self._statement = EndpointStatement()
+        self._crashes = CrashCount()
+        # Whether it is not sent again, as endpoints crashed under it.
+        self._crashed = False
         self._error_response: Response | None = None
 
     async def run(self) -> None:
@@ -137,6 +142,8 @@
         elif exc.reason in WITHHELD_REASONS and self._attempts_sent:
             # Nothing was sent, so the retry that was taken is used by the next attempt.
             self._retry_acquired = True
+        if exc.reason is RetryReason.QUARANTINED:
+            return False
         if not exc.may_have_run:
             self._unexecuted_attempts += 1
             if self._retry_reserve() is None:
@@ -148,6 +155,11 @@
             self._context.crashes.record_attempt(
                 request, [record.endpoint], responded=False
             )
+            self._crashes.add(record.endpoint, responded=False)
+            quarantine = self._context.quarantine
+            self._crashed = not quarantine.may_repeat(request, self._crashes)
+            if self._crashed:
+                return False
         return (
             request.route.retryable
             and len(self._attempted_ids) < request.route.max_attempts
@@ -199,9 +211,10 @@
                 RetryReason.NOT_SENT, str(exc), may_have_run=False
             ) from exc
         try:
-            # The endpoint may have asked for rest, or been found to leave, while the
-            # connection was opened.
+            # Meanwhile the endpoint may have asked for rest, or been found to leave, or
+            # the prompt may have been found to crash endpoints.
             context.statements.check_send([endpoint])
+            check_quarantine(request, context)
         except AttemptFailedError:
             context.limits.give_back(permit)
             await conn.close()
@@ -313,6 +326,7 @@
             self._context.directory.record_service_time(
                 endpoint_id, response_time_s, load
             )
+            self._context.quarantine.record_served(self._request)
         if status >= 500 and self._request.route.retryable:
             cause = f"status {status}"
             raise AttemptFailedError(
@@ -349,10 +363,15 @@
             await self._writer.forward(self._error_response)
             return
         expired = request.remaining_s <= 0
-        if self._may_have_run:
+        verdict = self._context.quarantine.refusal(request)
+        if self._crashed:
+            refusal = RefusalReason.CRASHED
+        elif self._may_have_run:
             refusal = RefusalReason.TIMEOUT if expired else RefusalReason.UNCERTAIN
         elif expired:
             refusal = RefusalReason.DEADLINE
+        elif verdict is not None:
+            refusal = RefusalReason.QUARANTINED
         elif self._refused_for_room(refusal):
             refusal = RefusalReason.NO_ROOM
         self._context.metrics.count_refusal(refusal)
@@ -367,7 +386,11 @@
             status = 504 if expired else 502
             await self._writer.local_reply(status, "the endpoint did not answer")
             return
-        if refusal is RefusalReason.NO_ROOM:
+        text = "no endpoint can take the request"
+        if verdict is not None:
+            retry_after_s = self._context.quarantine.retry_after_s(verdict)
+            text = QUARANTINED_TEXT
+        elif refusal is RefusalReason.NO_ROOM:
             retry_after_s = self._context.admission.retry_after_s(request)
         elif retry_after_s is None:
             retry_after_s = (
@@ -375,9 +398,7 @@
                 if self._unexecuted_attempts
                 else RETRY_AFTER_NO_ENDPOINT_S
             )
-        await self._writer.local_reply(
-            503, "no endpoint can take the request", retry_after_s
-        )
+        await self._writer.local_reply(503, text, retry_after_s)
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -16,7 +16,9 @@
     over before it ran, ``NO_PERMIT`` that all endpoints that could receive it have a
     request limit and this host had no permit, ``RESTING`` that endpoints asked for rest
     and no other could receive it, ``NO_ROOM`` that endpoints have no room for it by its
-    deadline or room is left to others, ``ENDPOINTS_FULL`` that no endpoint executed it
+    deadline or room is left to others, ``QUARANTINED`` that a segment of its prompt
+    crashes endpoints, ``CRASHED`` that endpoints crashed under it and it is not sent to
+    others, ``ENDPOINTS_FULL`` that no endpoint executed it
     although some were tried. A resumable stream that may have run without
     an event for the caller counts as ``ENDPOINTS_FULL``, or as ``RETRY_BUDGET`` if that
     was exhausted.
@@ -31,6 +33,8 @@
     NO_PERMIT = "no_permit"
     RESTING = "resting"
     NO_ROOM = "no_room"
+    QUARANTINED = "quarantined"
+    CRASHED = "crashed"
     ENDPOINTS_FULL = "endpoints_full"
     RETRY_BUDGET = "retry_budget"
     DEADLINE = "deadline"
@@ -48,7 +52,8 @@
     counts moves that failed: the stream stayed on its path. ``NO_PERMIT`` means that
     the request was not sent, as another one took the last permit for the endpoint, and
     ``RESTING`` and ``LEAVING`` that it was not sent, as the endpoint asked for rest or
-    was found to leave meanwhile.
+    was found to leave meanwhile. ``QUARANTINED`` means that it was not sent, as part of
+    its prompt was found to crash endpoints meanwhile.
     """
 
     NOT_SENT = "not_sent"
@@ -61,11 +66,17 @@
     NO_PERMIT = "no_permit"
     RESTING = "resting"
     LEAVING = "leaving"
+    QUARANTINED = "quarantined"
 
 
 # Reasons of attempts in which this host decided not to send the request.
 WITHHELD_REASONS = frozenset(
-    (RetryReason.NO_PERMIT, RetryReason.RESTING, RetryReason.LEAVING)
+    (
+        RetryReason.NO_PERMIT,
+        RetryReason.RESTING,
+        RetryReason.LEAVING,
+        RetryReason.QUARANTINED,
+    )
 )
 # Reasons of attempts during which an endpoint may have crashed.
 CRASH_REASONS = frozenset((RetryReason.BROKEN, RetryReason.SILENT, RetryReason.MOVED))
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -11,6 +11,8 @@
 from hemlockhall_router.policy.priority import combine_priorities, usable_priority
 from hemlockhall_router.policy.retry_reserve import retry_reserve
 from hemlockhall_router.process.dialect import PromptSegments
+from hemlockhall_router.request.failure import AttemptFailedError
+from hemlockhall_router.request.reason import RetryReason
 
 if TYPE_CHECKING:
     from hemlockhall_router.connection.message import Headers, RequestHead
@@ -25,6 +27,7 @@
     from hemlockhall_router.process.limits import EndpointLimits
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.prober import Prober
+    from hemlockhall_router.process.quarantine import Quarantine
     from hemlockhall_router.process.statement import EndpointStatements
     from hemlockhall_router.request.active_stream import ActiveStream
     from hemlockhall_router.version.endpoint import Endpoint
@@ -55,6 +58,7 @@
     statements: EndpointStatements
     admission: Admission
     crashes: CrashWatch
+    quarantine: Quarantine
 
 
 @dataclass(slots=True)
@@ -63,6 +67,9 @@
 
     ``id`` is the caller's id of the request, ``deadline`` monotonic seconds.
     ``completed`` is true once an endpoint has finished the response.
+    ``segment_keys`` are the keys of the shared segments of its prompt, None until they
+    are needed, and ``tried_segments`` those of segments whose quarantine has ended and
+    that this request tries.
     """
 
     head: RequestHead
@@ -74,6 +81,8 @@
     deadline: float
     token_counts: TokenCounts | None = None
     segments: PromptSegments = PromptSegments()
+    segment_keys: tuple[int, ...] | None = None
+    tried_segments: set[int] = field(default_factory=set)
     completed: bool = False
 
     @property
@@ -174,6 +183,16 @@
     )
 
 
+def check_quarantine(request: RoutedRequest, context: RelayContext) -> None:
+    """Raise ``AttemptFailedError`` if a segment of the prompt is in quarantine."""
+    if context.quarantine.refusal(request) is not None:
+        raise AttemptFailedError(
+            RetryReason.QUARANTINED,
+            "a segment of the prompt crashes endpoints",
+            may_have_run=False,
+        )
+
+
 def reserve_for_retry(
     request: RoutedRequest,
     admission: Admission,
@@ -273,6 +292,7 @@
     "InFlightTracker",
     "RelayContext",
     "RoutedRequest",
+    "check_quarantine",
     "encode_upstream_request",
     "reserve_for_retry",
 ]
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from hemlockhall_router.process.limits import NoPermitError
+from hemlockhall_router.process.quarantine import QUARANTINED_TEXT, CrashCount
 from hemlockhall_router.process.statement import EndpointsRestingError
 from hemlockhall_router.request.active_stream import MoveRequestedError
 from hemlockhall_router.request.attempt import Attempt
@@ -104,6 +105,10 @@
         # Attempts sent, without the one in progress; every attempt to move counts.
         self._attempts_sent = 0
         self._retry_acquired = False
+        self._crashes = CrashCount()
+        self._served = False
+        # Whether it is not sent again, as endpoints crashed under it.
+        self._crashed = False
         self._executed_at: dict[str, Endpoint] = {}
         self._times = StreamTimes()
 
@@ -311,24 +316,35 @@
         if exc.may_have_run:
             self._may_have_run = True
             self._record_execution(attempt)
-            self._record_crash(attempt, exc.reason)
-            return request.route.retryable
+            if self._record_crash(attempt, exc.reason):
+                quarantine = self._context.quarantine
+                self._crashed = not quarantine.may_repeat(request, self._crashes)
+            return request.route.retryable and not self._crashed
+        if exc.reason is RetryReason.QUARANTINED:
+            return False
         self._had_unexecuted_attempt = True
         if self._rejected_for_room and self._room_wait_expired():
             return False
         return self._retry_reserve() is not None
 
-    def _record_crash(self, attempt: Attempt, reason: RetryReason) -> None:
-        """Record an attempt that may have ended together with an endpoint."""
-        if reason not in CRASH_REASONS or attempt.active_stream.first_event_seen:
-            return
+    def _record_crash(self, attempt: Attempt, reason: RetryReason) -> bool:
+        """Record an attempt if it may have ended together with an endpoint.
+
+        Once an endpoint has served the request, that is for another reason.
+        """
+        self._served = self._served or attempt.served
+        if reason not in CRASH_REASONS or self._served:
+            return False
         # Only the first endpoint is known to have closed its connection.
         endpoints = attempt.path.endpoints
         if reason is RetryReason.BROKEN:
             endpoints = endpoints[:1]
+        responded = attempt.responded and not attempt.active_stream.first_event_seen
         self._context.crashes.record_attempt(
-            self._request, endpoints, responded=attempt.responded
+            self._request, endpoints, responded=responded
         )
+        self._crashes.add(endpoints[0], responded=responded)
+        return True
 
     async def _find_path(self) -> Path | None:
         """Return a path, or None if there is none after a wait.
@@ -545,8 +561,13 @@
         """
         request, writer = self._request, self._writer
         expired = request.remaining_s <= 0
+        verdict = self._context.quarantine.refusal(request)
         if writer.started:
             refusal = RefusalReason.TIMEOUT if expired else RefusalReason.UNCERTAIN
+        elif self._crashed and not expired:
+            refusal = RefusalReason.CRASHED
+        elif verdict is not None:
+            refusal = RefusalReason.QUARANTINED
         elif self._may_have_run and not request.route.retryable:
             refusal = RefusalReason.TIMEOUT if expired else RefusalReason.UNCERTAIN
         elif self._without_permit and not expired:
@@ -584,7 +605,11 @@
             if self._had_unexecuted_attempt
             else RETRY_AFTER_NO_ENDPOINT_S
         )
-        if refusal is RefusalReason.NO_ROOM:
+        text = "no path can take the request"
+        if verdict is not None:
+            text = QUARANTINED_TEXT
+            retry_after_s = self._context.quarantine.retry_after_s(verdict)
+        elif refusal is RefusalReason.NO_ROOM:
             retry_after_s = self._context.admission.retry_after_s(request)
         elif refusal is RefusalReason.NO_PERMIT:
             retry_after_s = self._context.limits.promise_permit_s(self._without_permit)
@@ -593,7 +618,7 @@
             retry_after_s = self._context.statements.retry_after_s(
                 self._resting.deadline
             )
-        await writer.local_reply(503, "no path can take the request", retry_after_s)
+        await writer.local_reply(503, text, retry_after_s)
 
 
 def _event_number(value: bytes | None) -> int | None:
--- a/packages/standins/src/hemlockhall_standins/router/crashing.py
+++ b/packages/standins/src/hemlockhall_standins/router/crashing.py
@@ -11,6 +11,8 @@
 from hemlockhall_router.process.store import Table
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from hemlockhall_standins.router.endpoint import ReceivedRequest, ScriptedEndpoint
     from hemlockhall_standins.router.harness import RouterHarness
 
@@ -34,9 +36,9 @@
     """Endpoints of one service that crash under prompts with one of ``fatal``.
 
     A crash closes all connections, and ``RESTART_S`` later the endpoint is back under
-    another id. ``crashes`` has the monotonic time of each, and ``arrivals`` that of
-    each request with a segment by its id. ``responds`` is false while endpoints crash
-    without the head of a response.
+    another id. ``crashes`` has the monotonic time of each, ``crashes_under`` those
+    under a fatal segment, and ``arrivals`` the time of each request with a segment.
+    ``responds`` is false while endpoints crash without the head of a response.
     """
 
     harness: RouterHarness
@@ -44,6 +46,7 @@
     fatal: set[str] = field(default_factory=set)
     responds: bool = True
     crashes: list[float] = field(default_factory=list)
+    crashes_under: dict[str, list[float]] = field(default_factory=dict)
     arrivals: dict[str, list[float]] = field(default_factory=dict)
     endpoints: list[ScriptedEndpoint] = field(default_factory=list)
     started: int = 0
@@ -68,24 +71,26 @@
         for segment in segments:
             self.arrivals.setdefault(segment, []).append(time.monotonic())
         await anyio.sleep(PREFILL_S)
-        fatal = not self.fatal.isdisjoint(segments[:-1])
+        fatal = self.fatal.intersection(segments[:-1])
         if fatal and not self.responds:
-            self.crash(received.endpoint)
+            self.crash(received.endpoint, fatal)
         await received.begin()
         if fatal:
             await anyio.sleep(CRASH_DELAY_S)
-            self.crash(received.endpoint)
+            self.crash(received.endpoint, fatal)
         for number in range(1, EVENTS + 1):
             await received.event(number)
             await anyio.sleep(EVENT_GAP_S)
         await received.end()
 
-    def crash(self, endpoint: ScriptedEndpoint) -> None:
+    def crash(self, endpoint: ScriptedEndpoint, segments: Collection[str] = ()) -> None:
         """End an endpoint, and start another one in its place after a while."""
         if endpoint not in self.endpoints:
             return
         self.endpoints.remove(endpoint)
         self.crashes.append(time.monotonic())
+        for segment in segments:
+            self.crashes_under.setdefault(segment, []).append(time.monotonic())
         self.harness.group.start_soon(self._restart, endpoint)
         endpoint.stop()
 
@@ -95,13 +100,14 @@
         await self.start_one()
 
     def arrivals_after_crash(self, segment: str, number: int, delay_s: float) -> int:
-        """Return how many requests with a segment came later than that crash.
+        """Return how many requests with a segment came after a crash under it.
 
         Those that arrived up to ``delay_s`` after it do not count.
         """
-        if len(self.crashes) < number:
+        crashes = self.crashes_under.get(segment, [])
+        if len(crashes) < number:
             return 0
-        since = self.crashes[number - 1] + delay_s
+        since = crashes[number - 1] + delay_s
         return sum(at > since for at in self.arrivals.get(segment, ()))
 
 
--- a/packages/standins/src/hemlockhall_standins/router/network.py
+++ b/packages/standins/src/hemlockhall_standins/router/network.py
@@ -17,6 +17,7 @@
 from hemlockhall_router.membership.message import Contact, TableVersion, encode
 from hemlockhall_router.process.limits import EndpointLimits
 from hemlockhall_router.process.metric import Metrics
+from hemlockhall_router.process.quarantine import Quarantine
 from hemlockhall_router.process.router import MAINTENANCE_INTERVAL_S
 from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.timing import Timing
@@ -95,6 +96,7 @@
             Metrics(),
             lambda: self.network.now,
         )
+        self.quarantine = Quarantine(directory, self.exchange, Metrics())
 
     def _local_state(self) -> LocalState:
         return LocalState(
@@ -104,6 +106,8 @@
             limits=self.limits.statements(),
             demands=self.demands(),
             customers=self.customers(),
+            crashes=self.quarantine.evidence(),
+            verdicts=self.quarantine.verdicts(),
         )
 
     def _count_false_figures(self) -> None:
@@ -114,6 +118,7 @@
         if not self.alive:
             return
         self.limits.issue()
+        self.quarantine.update()
         self.network.after(MAINTENANCE_INTERVAL_S, self.issue_permits)
 
     def hosts(self) -> int:
@@ -184,6 +189,7 @@
         """Process a message; fetch the table if its sender has a newer version."""
         self.exchange.receive(message)
         self.limits.apply(message.limits)
+        self.quarantine.apply(message.crashes, message.verdicts)
         now = self.network.now
         for table_version in message.table_versions:
             if table_version.last_change <= self.version:
--- a/packages/standins/src/hemlockhall_standins/router/pool.py
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -12,6 +12,7 @@
 from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.limits import EndpointLimits
 from hemlockhall_router.process.metric import Metrics
+from hemlockhall_router.process.quarantine import Quarantine
 from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.statement import EndpointStatements
 from hemlockhall_router.process.timing import Timing
@@ -76,6 +77,11 @@
     )
 
 
+def make_quarantine(directory: Directory) -> Quarantine:
+    """Return the quarantine of a host without peers, empty at first."""
+    return Quarantine(directory, NoPeers(), Metrics())
+
+
 def make_chooser(
     directory: Directory,
     data_centre: str,
@@ -118,6 +124,7 @@
     "make_chooser",
     "make_directory",
     "make_limits",
+    "make_quarantine",
     "make_statements",
     "add_endpoint",
     "large_model",
--- /dev/null
+++ b/tests/router/membership/test_quarantine.py
@@ -0,0 +1,188 @@
+"""Prompts that crash endpoints, as known to many hosts, in virtual time."""
+
+from __future__ import annotations
+
+import random
+import statistics
+from dataclasses import replace
+from itertools import count
+
+import pytest
+
+from hemlockhall_router.connection.message import RequestHead
+from hemlockhall_router.process.dialect import PromptSegments
+from hemlockhall_router.request.relay import RoutedRequest
+from hemlockhall_router.version.endpoint import Endpoint
+from hemlockhall_router.version.routing import Route, RouteKind, Service
+from hemlockhall_standins.router.network import Host, Network
+
+# Time after the fifth crash from which all hosts refuse such prompts.
+CONTACT_S = 3.0
+CRASHES = 5
+START_S = 4.0
+# What a host may send for control, in bytes per second.
+BYTES_PER_S = 4096
+# Hosts and data centres.
+SIZES = [(4, 3), (28, 3), (400, 15)]
+SMALL_SIZES = SIZES[:2]
+ENDPOINT = Endpoint("d1", "pool", "10.0.0.1", 1, "here", started_ms=1)
+ROUTE = Route("r", b"", b"/", RouteKind.STREAM, 5.0, 0.3, ())
+SERVICE = Service("pool", "/", 0)
+
+
+class Fleet:
+    """Hosts before endpoints that crash under prompts with the segment ``bad``."""
+
+    def __init__(self, hosts: int, data_centres: int, lost: float = 0.0) -> None:
+        self.network = Network(hosts, data_centres, seed=hosts)
+        self.random = random.Random(hosts)  # noqa: S311
+        self.numbers = count(1)
+        self.network.run(START_S)
+        self.network.lost = lost
+
+    def request(self, *segments: str) -> RoutedRequest:
+        head = RequestHead(b"POST", b"/", [])
+        request = RoutedRequest(head, b"", ROUTE, SERVICE, None, b"r", 0.0)
+        request.segments = PromptSegments(segments, f"own-{next(self.numbers)}")
+        return request
+
+    def crash(self, host: Host, *segments: str) -> None:
+        endpoint = replace(ENDPOINT, started_ms=next(self.numbers))
+        host.quarantine.record_crash(
+            self.request(*segments), endpoint, self.network.now, responded=True
+        )
+
+    def serve(self, *segments: str) -> None:
+        """Let an endpoint serve a request of each host."""
+        for host in self.network.live():
+            host.quarantine.record_served(self.request(*segments))
+
+    def crashes(self, spacing_s: float = 0.2) -> None:
+        """Let five endpoints crash, each under a request of another host."""
+        live = self.network.live()
+        hosts = self.random.sample(live, min(len(live), CRASHES - 1))
+        for host in [*hosts, hosts[0]]:
+            self.crash(host, "base", "bad", f"new-{next(self.numbers)}")
+            self.network.run(spacing_s / 2)
+            self.serve("base")
+            self.network.run(spacing_s / 2)
+
+    def ignorant(self) -> list[str]:
+        """Return the names of the hosts that send such a prompt on."""
+        names = []
+        for host in self.network.live():
+            if host.quarantine.refusal(self.request("base", "bad")) is None:
+                names.append(host.name)
+        return names
+
+    def refuse_sound(self) -> list[str]:
+        """Return the names of the hosts that refuse another prompt."""
+        names = []
+        for host in self.network.live():
+            if host.quarantine.refusal(self.request("base", "new")) is not None:
+                names.append(host.name)
+        return names
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), SIZES)
+class TestAllHosts:
+    def test_they_know_it_in_time(self, hosts: int, data_centres: int) -> None:
+        """Guards against hosts that go on to send prompts under which endpoints crashed
+        at other hosts; a tenth of the messages is lost."""
+        fleet = Fleet(hosts, data_centres, lost=0.1)
+        fleet.crashes()
+        fleet.network.run(CONTACT_S)
+        assert fleet.ignorant() == []
+        assert fleet.refuse_sound() == []
+
+    def test_they_know_it_though_each_request_has_new_segments(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        """Guards against messages that are full of other segments, and that grow with
+        their number."""
+        fleet = Fleet(hosts, data_centres)
+        live = fleet.network.live()
+        for _ in range(CRASHES):
+            for host in fleet.random.sample(live, min(len(live), 20)):
+                new = [f"new-{next(fleet.numbers)}" for _ in range(8)]
+                fleet.crash(host, "base", *new)
+            fleet.crash(fleet.random.choice(live), "base", "bad")
+            fleet.network.run(0.1)
+            fleet.serve("base")
+            fleet.network.run(0.1)
+        for host in live:
+            host.sent_bytes = 0
+        fleet.network.run(CONTACT_S)
+        assert fleet.ignorant() == []
+        assert fleet.refuse_sound() == []
+        others = [h.sent_bytes for h in live if h not in fleet.network.hubs()]
+        if others:
+            assert statistics.median(others) / CONTACT_S < BYTES_PER_S
+
+    def test_a_host_that_starts_knows_it_in_time(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        fleet = Fleet(hosts, data_centres)
+        fleet.crashes()
+        fleet.network.run(30.0)
+        old = fleet.random.choice(fleet.network.live())
+        old.alive = False
+        fleet.network.run(1.0)
+        fleet.network.start(old.name, old.data_centre, "2", old.capacity)
+        fleet.network.run(CONTACT_S)
+        assert fleet.ignorant() == []
+
+    def test_hosts_that_were_parted_know_it_in_time(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        fleet = Fleet(hosts, data_centres)
+        names = [host.name for host in fleet.network.live()]
+        parted = set(names[: max(1, len(names) // 3)])
+        fleet.network.cut = lambda sender, receiver: (
+            (sender in parted) != (receiver in parted)
+        )
+        others = [h for h in fleet.network.live() if h.name not in parted]
+        for host in fleet.random.choices(others, k=CRASHES):
+            fleet.crash(host, "base", "bad")
+            fleet.network.run(0.2)
+            fleet.serve("base")
+        fleet.network.run(10.0)
+        assert set(fleet.ignorant()) == parted
+        fleet.network.cut = lambda sender, receiver: False
+        fleet.network.run(CONTACT_S)
+        assert fleet.ignorant() == []
+
+    def test_a_host_that_wakes_knows_it_in_time(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        """Guards against a host that was frozen while the others reached a verdict."""
+        fleet = Fleet(hosts, data_centres)
+        frozen = fleet.random.choice(fleet.network.live())
+        frozen.alive = False
+        fleet.crashes()
+        fleet.network.run(10.0)
+        frozen.alive = True
+        frozen.gossip()
+        frozen.issue_permits()
+        frozen.poll_store()
+        fleet.network.run(CONTACT_S)
+        assert fleet.ignorant() == []
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), SMALL_SIZES)
+class TestAgreement:
+    def test_two_hosts_with_opposite_news_agree(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        """Guards against a sound segment that some hosts refuse for good."""
+        fleet = Fleet(hosts, data_centres)
+        witness, *rest = fleet.network.live()
+        fleet.network.run(1.0)
+        for _ in range(CRASHES):
+            fleet.crash(rest[0], "base", "bad")
+            fleet.network.run(0.2)
+            witness.quarantine.record_served(fleet.request("base", "bad"))
+            for host in rest:
+                host.quarantine.record_served(fleet.request("base"))
+        fleet.network.run(2 * CONTACT_S)
+        assert len(fleet.ignorant()) == hosts
--- a/tests/router/test_crash.py
+++ b/tests/router/test_crash.py
@@ -15,7 +15,7 @@
 from hemlockhall_router.request.relay import RoutedRequest
 from hemlockhall_router.version.endpoint import Endpoint
 from hemlockhall_router.version.routing import Route, RouteKind, Service
-from hemlockhall_standins.router.pool import make_directory
+from hemlockhall_standins.router.pool import make_directory, make_quarantine
 from hemlockhall_standins.virtual_time import VirtualClock
 
 ENDPOINT = Endpoint("d1", "pool", "10.0.0.1", 1, "here", started_ms=1)
@@ -40,7 +40,8 @@
 
 @pytest.fixture()
 def watch(directory: Directory) -> CrashWatch:
-    return CrashWatch(directory, Metrics(), time.monotonic)
+    quarantine = make_quarantine(directory)
+    return CrashWatch(directory, Metrics(), time.monotonic, quarantine)
 
 
 def attempts(watch: CrashWatch, label: str) -> int:
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -27,6 +27,8 @@
 CRASHES = 5
 CONTACT_S = 3.0
 START_S = 2.0
+# Seconds within which a request is refused without a wait.
+AT_ONCE_S = 0.02
 # Fraction of the sound requests that are served at least, of those served before.
 SERVED_FRACTION = 0.5
 
@@ -121,3 +123,153 @@
         before = sound.served(began_at - START_S, began_at)
         after = sound.served(began_at + 2 * CONTACT_S, now - 1.0)
         assert after >= SERVED_FRACTION * before
+
+    async def test_two_such_prompts_at_once_are_both_found(self) -> None:
+        random.seed(7)
+        async with router_harness(ROUTES) as harness:
+            await harness.add_router()
+            pool = CrashingPool(harness, fatal={"bad", "worse"})
+            await pool.start(8)
+            sound = PromptLoad(harness, 20.0, lambda: ["base"], "sound")
+            sound.start()
+            for segment in ("bad", "worse"):
+                prompt = ["base", segment]
+                PromptLoad(harness, 2.0, lambda p=prompt: p, segment).start()
+            await anyio.sleep(12.0)
+        for segment in ("bad", "worse"):
+            assert pool.arrivals_after_crash(segment, CRASHES, CONTACT_S) <= ALLOWED
+
+    async def test_one_that_comes_seldom_and_after_a_pause_is_refused(self) -> None:
+        """Guards against a verdict that is never reached, or forgotten, as such
+        requests come seconds apart or stop for a while."""
+        random.seed(9)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            await harness.add_router(data_centre="place-1")
+            pool = CrashingPool(harness, fatal={"bad"})
+            await pool.start(4)
+            sound = PromptLoad(harness, 5.0, lambda: ["base"], "sound")
+            sound.start()
+            bad = PromptLoad(harness, 0.0, lambda: ["base", "bad"], "bad")
+            for number in range(6):
+                await bad.request(number % 2)
+                await anyio.sleep(4.0)
+            await anyio.sleep(20.0)
+            crashes = len(pool.crashes)
+            for number in range(6):
+                assert await bad.request(number % 2) == 503
+        assert crashes == len(pool.crashes) <= CRASHES
+
+    async def test_it_is_refused_after_all_hosts_restarted(self) -> None:
+        """Guards against hosts that all lose their memory and let such prompts crash
+        endpoints again."""
+        random.seed(11)
+        async with router_harness(ROUTES) as harness:
+            await harness.add_router()
+            pool = CrashingPool(harness, fatal={"bad"})
+            await pool.start(6)
+            PromptLoad(harness, 10.0, lambda: ["base"], "sound").start()
+            bad = PromptLoad(harness, 3.0, lambda: ["base", "bad"], "bad")
+            bad.start()
+            await anyio.sleep(6.0)
+            bad.rate = 0.0
+            await anyio.sleep(2.0)
+            crashes = len(pool.crashes)
+            for index in range(2):
+                harness.kill(index)
+            await anyio.sleep(1.0)
+            for index in range(2):
+                await harness.restart(index)
+            await anyio.sleep(CONTACT_S)
+            for number in range(6):
+                assert await bad.request(number % 2) == 503
+        assert len(pool.crashes) == crashes > 0
+
+    @pytest.mark.parametrize("responds", [True, False])
+    async def test_one_request_does_not_end_one_endpoint_after_the_other(
+        self, responds: bool
+    ) -> None:
+        """Guards against a request that is repeated until no endpoint is left."""
+        async with router_harness(ROUTES) as harness:
+            pool = CrashingPool(harness, fatal={"bad"}, responds=responds)
+            await pool.start(8)
+            bad = PromptLoad(harness, 0.0, lambda: ["base", "bad"], "bad")
+            # It may have run, so the response promises nothing.
+            assert await bad.request() == 502
+        assert len(pool.crashes) <= CRASHES - 1
+
+
+class TestCallers:
+    async def test_they_are_refused_at_once_and_told_when_to_come_back(self) -> None:
+        """Guards against callers that wait for a request which is known to fail, or
+        come back at once."""
+        random.seed(13)
+        async with router_harness(ROUTES) as harness:
+            pool = CrashingPool(harness, fatal={"bad"})
+            await pool.start(8)
+            PromptLoad(harness, 10.0, lambda: ["base"], "sound").start()
+            bad = PromptLoad(harness, 0.0, lambda: ["base", "bad"], "bad")
+            for _ in range(CRASHES):
+                await bad.request()
+                await anyio.sleep(1.0)
+            bad.refusals.clear()
+            arrived = len(pool.arrivals["bad"])
+            for _ in range(20):
+                assert await bad.request() == 503
+            hold_s = harness.routers[0].quarantine.cfg.hold_s
+        assert len(pool.arrivals["bad"]) == arrived
+        for took_s, retry_after_s, body in bad.refusals:
+            assert took_s < AT_ONCE_S
+            assert hold_s / 2 < retry_after_s < 2 * hold_s
+            assert b"prompt" in body
+
+
+class TestSoundPrompts:
+    async def test_none_is_refused_as_endpoints_crash_for_another_reason(self) -> None:
+        """Guards against prompts that are blamed for endpoints which lose their power:
+        one segment is in all prompts, others in a few."""
+        random.seed(17)
+        documents = count()
+
+        def prompt() -> list[str]:
+            return ["base", f"doc-{next(documents) // 4}"]
+
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            for number in range(1, 3):
+                await harness.add_router(data_centre=f"place-{number}")
+            pool = CrashingPool(harness)
+            await pool.start(8)
+            sound = PromptLoad(harness, 30.0, prompt, "sound")
+            sound.start()
+            await anyio.sleep(START_S)
+            for _ in range(20):
+                await anyio.sleep(0.4)
+                # One endpoint, or several at the same moment.
+                for endpoint in random.sample(
+                    pool.endpoints, min(len(pool.endpoints), random.choice([1, 1, 4]))
+                ):
+                    pool.crash(endpoint)
+            await anyio.sleep(2.0)
+            quarantines = [router.quarantine for router in harness.routers]
+        assert [q.quarantined() for q in quarantines] == [[], [], []]
+        assert not any(b"prompt" in body for _, _, body in sound.refusals)
+
+    async def test_none_is_refused_after_all_endpoints_crashed(self) -> None:
+        """Guards against a service that stays refused after an outage, as its prompts
+        were at endpoints when these crashed and none was served in between."""
+        random.seed(19)
+        async with router_harness(ROUTES) as harness:
+            pool = CrashingPool(harness)
+            await pool.start(6)
+            sound = PromptLoad(harness, 30.0, lambda: ["base"], "sound")
+            sound.start()
+            await anyio.sleep(START_S)
+            for _ in range(10):
+                for endpoint in list(pool.endpoints):
+                    pool.crash(endpoint)
+                    await anyio.sleep(0.02)
+                await anyio.sleep(0.15)
+            await anyio.sleep(3.0)
+            now = time.monotonic()
+            await anyio.sleep(3.0)
+        assert not any(b"prompt" in body for _, _, body in sound.refusals)
+        assert sound.served(now, now + 1.0) > SERVED_FRACTION
--- a/tests/router/test_rejection.py
+++ b/tests/router/test_rejection.py
@@ -51,6 +51,7 @@
     SERVICE,
     make_directory,
     make_limits,
+    make_quarantine,
     make_statements,
 )
 from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
@@ -373,6 +374,7 @@
     budget = RetryBudget(ratio, RETRIES / 0.7, 10.0, lambda: 1, lambda: (1, []))
     links = DataCentreLinks(lambda: 1)
     limits, statements = make_limits(directory), make_statements(directory)
+    quarantine = make_quarantine(directory)
     chooser = Chooser(directory, "here", links, lambda: 1, limits, statements)
     admission = FakeAdmission()
     context = RelayContext(
@@ -387,7 +389,8 @@
         limits,
         statements,
         admission,
-        CrashWatch(directory, Metrics(), time.monotonic),
+        CrashWatch(directory, Metrics(), time.monotonic, quarantine),
+        quarantine,
     )
     return Host(context, admission, endpoints)
 
--- /dev/null
+++ b/tests/router/test_verdict.py
@@ -0,0 +1,388 @@
+"""Evidence and verdicts on prompt segments, at one host without a network."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+
+import pytest
+
+from hemlockhall_router.connection.message import RequestHead
+from hemlockhall_router.membership.message import CrashEvidence, SegmentVerdict
+from hemlockhall_router.policy.crash import MIN_WAITING_REQUESTS
+from hemlockhall_router.process.dialect import PromptSegments
+from hemlockhall_router.process.quarantine import (
+    EVIDENCE_TTL_MS,
+    MAX_EVIDENCE_SENT,
+    MAX_SERVED,
+    MAX_SUSPECTS,
+    MAX_VERDICTS,
+    MAX_VERDICTS_SENT,
+    SERVED_WAIT_MS,
+    TRIAL_INTERVAL_MS,
+    CrashCount,
+    segment_keys,
+)
+from hemlockhall_router.process.setting import QuarantineSection
+from hemlockhall_router.request.relay import RoutedRequest
+from hemlockhall_router.version.endpoint import Endpoint
+from hemlockhall_router.version.routing import Route, RouteKind, Service
+from hemlockhall_standins.router.pool import make_directory, make_quarantine
+from hemlockhall_standins.virtual_time import VirtualClock
+
+ENDPOINT = Endpoint("d1", "pool", "10.0.0.1", 1, "here", started_ms=1)
+ROUTE = Route("r", b"", b"/", RouteKind.STREAM, 5.0, 0.3, ())
+SERVICE = Service("pool", "/", 0)
+STEP_S = 0.5
+
+
+def crash_count(responded: int, waiting: int = 0) -> CrashCount:
+    result = CrashCount()
+    for number in range(responded + waiting):
+        endpoint = replace(ENDPOINT, started_ms=number)
+        result.add(endpoint, responded=number < responded)
+        result.add(endpoint, responded=number < responded)
+    return result
+
+
+class Fleet:
+    """Endpoints that crash and serve, as one host sees it."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.clock = clock
+        self.directory = make_directory()
+        self.quarantine = make_quarantine(self.directory)
+        self.numbers = 0
+
+    def request(self, *segments: str, own: str = "") -> RoutedRequest:
+        self.numbers += 1
+        deadline = time.monotonic() + 5.0
+        head = RequestHead(b"POST", b"/", [])
+        request = RoutedRequest(head, b"", ROUTE, SERVICE, None, b"r", deadline)
+        request.segments = PromptSegments(segments, own or f"own-{self.numbers}")
+        return request
+
+    def crash(
+        self, *segments: str, own: str = "", responded: bool = True, endpoint: int = 0
+    ) -> None:
+        """Let an endpoint crash under a request, another one each time by default."""
+        request = self.request(*segments, own=own)
+        started_ms = endpoint or self.numbers
+        self.quarantine.record_crash(
+            request,
+            replace(ENDPOINT, started_ms=started_ms),
+            time.monotonic(),
+            responded=responded,
+        )
+
+    def serve(self, *segments: str) -> None:
+        self.quarantine.record_served(self.request(*segments))
+
+    def advance(self, seconds: float = STEP_S) -> None:
+        self.clock.advance(seconds)
+        self.quarantine.update()
+
+    def refused(self, *segments: str) -> bool:
+        return self.quarantine.refusal(self.request(*segments)) is not None
+
+    def quarantine_segment(self, segment: str) -> None:
+        """Let enough endpoints crash under a segment."""
+        self.advance()
+        for _ in range(3):
+            self.crash(segment)
+            self.serve("other")
+            self.advance()
+        self.advance(SERVED_WAIT_MS / 1000)
+        assert self.refused(segment)
+
+
+@pytest.fixture()
+def fleet(clock: VirtualClock) -> Fleet:
+    return Fleet(clock)
+
+
+class TestBlame:
+    def test_a_segment_under_which_endpoints_crash_is_quarantined(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.serve("base")
+        for count in range(3):
+            assert not fleet.refused("base", "bad")
+            fleet.crash("base", "bad")
+            fleet.serve("base")
+            fleet.advance()
+            assert fleet.quarantine.quarantined() == [] or count == 2
+        assert fleet.refused("base", "bad")
+        assert fleet.refused("bad")
+        assert not fleet.refused("base")
+        assert not fleet.refused("base", "good")
+
+    def test_the_own_segment_is_not_blamed(self, fleet: Fleet) -> None:
+        """Guards against a state that grows with each request."""
+        for _ in range(5):
+            fleet.crash(own="session")
+            fleet.serve("base")
+            fleet.advance()
+        assert fleet.quarantine.evidence() == []
+        assert not fleet.refused("session")
+
+    def test_a_segment_that_all_requests_share_is_not_blamed(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against a service that is refused altogether as all of its endpoints
+        crash for another reason and none serves a request."""
+        for _ in range(10):
+            fleet.crash("base")
+            fleet.advance()
+        assert not fleet.refused("base")
+        fleet.serve("base")
+        fleet.advance()
+        assert not fleet.refused("base")
+
+    @pytest.mark.parametrize("served_before", [True, False])
+    def test_a_segment_that_is_served_between_crashes_is_not_blamed(
+        self, fleet: Fleet, served_before: bool
+    ) -> None:
+        """Guards against sound prompts that are refused as endpoints crash often."""
+        if served_before:
+            fleet.serve("base")
+        for _ in range(20):
+            fleet.crash("base", responded=True)
+            fleet.advance(SERVED_WAIT_MS / 1000 - 0.1 if served_before else 0.1)
+            fleet.serve("base")
+            fleet.serve("other")
+            assert not fleet.refused("base")
+
+    def test_a_segment_that_was_served_earlier_can_be_blamed(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against a prompt that begins to crash endpoints after their update."""
+        fleet.serve("doc")
+        fleet.quarantine_segment("doc")
+
+    def test_two_segments_are_found_at_once(self, fleet: Fleet) -> None:
+        for _ in range(3):
+            fleet.crash("base", "bad")
+            fleet.crash("base", "worse")
+            fleet.serve("base")
+            fleet.advance()
+        assert fleet.refused("bad")
+        assert fleet.refused("worse")
+        assert not fleet.refused("base")
+
+    def test_a_slow_one_is_found(self, fleet: Fleet) -> None:
+        """Guards against crashes minutes apart that are forgotten in between."""
+        for _ in range(3):
+            fleet.crash("bad")
+            fleet.serve("base")
+            fleet.advance(EVIDENCE_TTL_MS / 1000 / 3)
+        assert fleet.refused("bad")
+
+    def test_requests_that_only_waited_are_not_blamed(self, fleet: Fleet) -> None:
+        """Guards against prompts that wait at endpoints which another one crashes."""
+        for number in range(1, 6):
+            fleet.crash("waiting", responded=False, endpoint=number)
+            fleet.crash("bad", responded=True, endpoint=number)
+            fleet.serve("base")
+            fleet.advance()
+        assert fleet.refused("bad")
+        assert not fleet.refused("waiting")
+
+    def test_without_a_response_those_that_waited_are(self, fleet: Fleet) -> None:
+        """Guards against endpoints that crash before the head of a response."""
+        for _ in range(MIN_WAITING_REQUESTS):
+            fleet.crash("bad", responded=False)
+            fleet.serve("base")
+            fleet.advance()
+        assert fleet.refused("bad")
+
+    def test_nothing_is_refused_if_it_is_switched_off(self, fleet: Fleet) -> None:
+        fleet.quarantine_segment("bad")
+        fleet.quarantine.cfg = QuarantineSection(enabled=False)
+        assert not fleet.refused("bad")
+        crashes = crash_count(9)
+        assert fleet.quarantine.may_repeat(fleet.request("bad"), crashes)
+
+
+class TestRepeats:
+    @pytest.mark.parametrize(
+        ("served", "suspected", "allowed"),
+        [(True, False, 3), (False, False, 2), (False, True, 1)],
+    )
+    def test_a_request_that_crashed_endpoints_is_not_repeated_without_end(
+        self, fleet: Fleet, served: bool, suspected: bool, allowed: int
+    ) -> None:
+        """Guards against one request that ends all endpoints, one after the other."""
+        if served:
+            fleet.serve("part")
+        if suspected:
+            fleet.crash("part")
+        request = fleet.request("part")
+        for count in range(1, 5):
+            crashes = crash_count(count)
+            may_repeat = fleet.quarantine.may_repeat(request, crashes)
+            assert may_repeat == (count < allowed)
+
+    def test_a_sound_one_that_waits_at_crashing_endpoints_is(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.serve("part")
+        crashes = crash_count(0, waiting=10)
+        assert fleet.quarantine.may_repeat(fleet.request("part"), crashes)
+
+    def test_its_own_crash_does_not_make_it_suspected(self, fleet: Fleet) -> None:
+        fleet.crash("part", own="me")
+        request = fleet.request("part", own="me")
+        assert fleet.quarantine.may_repeat(request, crash_count(1))
+
+
+class TestEnd:
+    def test_then_one_request_at_a_time_is_tried_at_its_host(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against hosts that all send such requests again at the same moment."""
+        fleet.quarantine_segment("bad")
+        hold_s = fleet.quarantine.cfg.hold_s
+        fleet.advance(hold_s - 4 * STEP_S)
+        assert fleet.refused("bad")
+        fleet.advance(4 * STEP_S)
+        shares = fleet.quarantine._peers.shares
+        monkeypatch.setattr(shares, "owns", lambda key: False, raising=False)
+        assert fleet.refused("bad")
+        monkeypatch.setattr(shares, "owns", lambda key: True)
+        tried = fleet.request("bad")
+        assert fleet.quarantine.refusal(tried) is None
+        assert fleet.quarantine.refusal(tried) is None
+        assert fleet.refused("bad")
+        fleet.advance(TRIAL_INTERVAL_MS / 1000)
+        assert not fleet.refused("bad")
+
+    def test_one_crash_of_a_trial_begins_it_again(self, fleet: Fleet) -> None:
+        fleet.quarantine_segment("bad")
+        fleet.advance(fleet.quarantine.cfg.hold_s)
+        assert fleet.quarantine.quarantined() == []
+        fleet.crash("bad")
+        fleet.advance()
+        assert len(fleet.quarantine.quarantined()) == 1
+
+    def test_a_served_trial_ends_it(self, fleet: Fleet) -> None:
+        fleet.quarantine_segment("bad")
+        fleet.advance(fleet.quarantine.cfg.hold_s)
+        fleet.serve("bad")
+        fleet.crash("bad")
+        fleet.advance()
+        assert not fleet.refused("bad")
+
+    def test_a_request_that_is_served_ends_it(self, fleet: Fleet) -> None:
+        """Guards against a sound segment that stays refused though a request with it,
+        sent before, is served."""
+        fleet.quarantine_segment("bad")
+        fleet.serve("bad")
+        assert not fleet.refused("bad")
+
+    def test_callers_are_told_its_end(self, fleet: Fleet) -> None:
+        fleet.quarantine_segment("bad")
+        verdict = fleet.quarantine.refusal(fleet.request("bad"))
+        assert verdict is not None
+        hold_s = fleet.quarantine.cfg.hold_s
+        wait_s = fleet.quarantine.retry_after_s(verdict)
+        assert hold_s - 6 * STEP_S <= wait_s <= hold_s + 10.0
+
+
+class TestOtherHosts:
+    def test_crashes_at_three_hosts_are_enough(self, fleet: Fleet) -> None:
+        others = [Fleet(fleet.clock) for _ in range(3)]
+        for other in others:
+            other.crash("base", "bad", own=f"own-{id(other)}", endpoint=id(other))
+            fleet.advance()
+        fleet.serve("base")
+        for other in others:
+            # Evidence that arrives again counts once.
+            for _ in range(5):
+                fleet.quarantine.apply(other.quarantine.evidence(), [])
+        fleet.advance()
+        assert fleet.refused("bad")
+        assert not fleet.refused("base")
+
+    def test_verdicts_hold_here_too(self, fleet: Fleet) -> None:
+        other = Fleet(fleet.clock)
+        other.quarantine_segment("bad")
+        fleet.quarantine.apply([], other.quarantine.verdicts())
+        assert fleet.refused("bad")
+
+    def test_a_host_that_served_the_segment_since_objects(self, fleet: Fleet) -> None:
+        """Guards against a sound segment that is refused everywhere as one host has
+        only met it at endpoints that crashed for another reason."""
+        other = Fleet(fleet.clock)
+        other.quarantine_segment("part")
+        fleet.serve("part")
+        fleet.quarantine.apply([], other.quarantine.verdicts())
+        assert not fleet.refused("part")
+        other.quarantine.apply([], fleet.quarantine.verdicts())
+        assert not other.refused("part")
+        # The old verdict comes again from a host that has not heard of it.
+        old = SegmentVerdict(segment_keys(fleet.request("part"))[0], 0, 1, 10**15)
+        other.quarantine.apply([], [old])
+        assert not other.refused("part")
+
+    def test_times_of_a_wrong_clock_are_bounded(self, fleet: Fleet) -> None:
+        """Guards against a segment that is refused for years as a clock was wrong."""
+        key = segment_keys(fleet.request("part"))[0]
+        now_ms = fleet.quarantine._now_ms()
+        verdict = SegmentVerdict(key, now_ms, now_ms, now_ms + 10**12)
+        fleet.quarantine.apply([], [verdict])
+        fleet.advance(fleet.quarantine.cfg.hold_s + STEP_S)
+        assert fleet.quarantine.quarantined() == []
+
+
+class TestBounds:
+    def test_state_and_messages_are_bounded_and_a_fatal_segment_is_found(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against hosts that fill their memory and messages, or lose the fatal
+        segment, when each request brings new segments."""
+        for number in range(300):
+            if number % 60 == 0:
+                fleet.crash("bad", *(f"f{number}-{part}" for part in range(20)))
+            for part in range(5):
+                fleet.crash(f"a{number}-{part}", f"b{number}-{part}", endpoint=number)
+            fleet.serve(*(f"c{number}-{part}" for part in range(20)))
+            assert len(fleet.quarantine.evidence()) <= MAX_EVIDENCE_SENT
+            fleet.advance(0.1)
+        assert fleet.refused("bad")
+        assert len(fleet.quarantine._suspects) <= MAX_SUSPECTS
+        assert len(fleet.quarantine._served) <= MAX_SERVED
+
+    def test_the_fatal_segment_is_among_the_first_to_be_told(
+        self, fleet: Fleet
+    ) -> None:
+        for number in range(2):
+            fleet.crash("bad")
+            for part in range(20):
+                fleet.crash(f"a{number}-{part}", endpoint=number + 1)
+        key = segment_keys(fleet.request("bad"))[0]
+        told = [fleet.quarantine.evidence() for _ in range(3)]
+        assert key in {item.segment for item in told[0]}
+        assert sum(item.segment == key for items in told for item in items) >= 4
+
+    def test_all_new_evidence_is_told(self, fleet: Fleet) -> None:
+        for number in range(40):
+            fleet.crash(f"part-{number}")
+        told: set[CrashEvidence] = set()
+        for _ in range(10):
+            told.update(fleet.quarantine.evidence())
+        assert len(told) == 40
+
+    def test_verdicts_are_bounded_and_told_in_turns(self, fleet: Fleet) -> None:
+        now_ms = fleet.quarantine._now_ms()
+        for key in range(2 * MAX_VERDICTS):
+            verdict = SegmentVerdict(key, now_ms, now_ms, now_ms + 60_000)
+            fleet.quarantine.apply([], [verdict])
+        assert len(fleet.quarantine.known()) == MAX_VERDICTS
+        fleet.advance(10.0)
+        told = set()
+        for _ in range(MAX_VERDICTS):
+            verdicts = fleet.quarantine.verdicts()
+            assert len(verdicts) <= MAX_VERDICTS_SENT
+            told.update(verdicts)
+        assert len(told) == MAX_VERDICTS
