Take no stream that ends inside an event for complete

What callers would see: a stream of a service without a model that comes with neither a length nor chunks, and is broken off inside an event, arrived as a complete response with a length. Cause: plain services' responses are read whole, and the end of the connection ended them, whatever they held; streams of models were checked already.

test_events_that_end_inside_an_event_are_not_complete failed with 200 for 502, with and without a length, and passes.

--- a/packages/router/src/hemlockhall_router/request/events.py
+++ b/packages/router/src/hemlockhall_router/request/events.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
+if TYPE_CHECKING:
+    from hemlockhall_router.connection.message import Response
+
+EVENT_STREAM = b"text/event-stream"
 EVENT_END_LF = b"\n\n"
 EVENT_END_CRLF = b"\r\n\r\n"
 
@@ -39,6 +44,19 @@
         return bool(self._pending.strip())
 
 
+def ends_inside_event(response: Response) -> bool:
+    """Return whether a whole response is a stream that was broken off.
+
+    Without a length the end of its connection does not tell.
+    """
+    content_type = response.head.header(b"content-type") or b""
+    if content_type.partition(b";")[0].strip().lower() != EVENT_STREAM:
+        return False
+    splitter = EventSplitter()
+    splitter.feed(response.body)
+    return splitter.partial
+
+
 def _end(data: bytes) -> int:
     plain = data.find(EVENT_END_LF)
     crlf = data.find(EVENT_END_CRLF)
@@ -59,4 +77,5 @@
 __all__ = [
     "Event",
     "EventSplitter",
+    "ends_inside_event",
 ]
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -18,6 +18,7 @@
 from hemlockhall_router.process.limits import NoPermitError
 from hemlockhall_router.process.quarantine import QUARANTINED_TEXT, CrashCount
 from hemlockhall_router.process.statement import EndpointsRestingError
+from hemlockhall_router.request.events import ends_inside_event
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
 from hemlockhall_router.request.reason import (
     CRASH_REASONS,
@@ -319,6 +320,12 @@
             raise AttemptFailedError(
                 RetryReason.FAILED, "the response has no signature", may_have_run=True
             )
+        if ends_inside_event(response):
+            raise AttemptFailedError(
+                RetryReason.BROKEN,
+                "the stream ended inside an event",
+                may_have_run=True,
+            )
         self._context.directory.record_success(endpoint_id, response_time_s)
         self._context.metrics.response_time.record(response_time_s)
         if status < 500:
--- a/tests/router/test_plain.py
+++ b/tests/router/test_plain.py
@@ -219,6 +219,39 @@
             await harness.start_endpoint("d1", unframed)
             assert (await harness.request("/book/x", method="POST")).head.status == 502
 
+    @pytest.mark.parametrize("framed", [True, False])
+    async def test_events_that_end_inside_an_event_are_not_complete(
+        self, framed: bool
+    ) -> None:
+        """Guards against a stream of a plain service that looks complete to its caller
+        though its endpoint broke it off inside an event."""
+
+        async def break_off(request: ReceivedRequest) -> None:
+            body = b"id: 1\ndata: word1\n\nid: 2\nda"
+            head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+            head += b"signature: d1\r\n"
+            if framed:
+                head += b"content-length: %d\r\n" % len(body)
+            await request.stream.send(head + b"\r\n" + body)
+            await request.close()
+
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("d1", break_off)
+            assert (await harness.request("/book/x", method="POST")).head.status == 502
+
+    async def test_whole_events_without_length_are_complete(self) -> None:
+        body = b"id: 1\ndata: word1\n\n"
+
+        async def send(request: ReceivedRequest) -> None:
+            head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream; charset=utf-8"
+            await request.stream.send(head + b"\r\nsignature: d1\r\n\r\n" + body)
+            await request.close()
+
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("d1", send)
+            response = await harness.request("/book/x", method="POST")
+            assert (response.head.status, response.body) == (200, body)
+
     async def test_unsigned_success_is_not_relayed(self) -> None:
         async def unsigned(request: ReceivedRequest) -> None:
             head = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n"
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -29,6 +29,9 @@
 ]
 EVENT_COUNT = 6
 ALL_EVENTS = b"".join(event_text(number) for number in range(1, EVENT_COUNT + 1))
+UNFRAMED_HEAD = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nsignature: p1\r\n\r\n"
+)
 ALL_LAYERS = {"service": "pool", "layers": (0, 8), "accelerator": "big"}
 
 
@@ -136,6 +139,62 @@
             assert response.head.header(b"retry-after") is not None
 
 
+class TestWithoutLength:
+    """Streams that come with neither a length nor chunks, and end with a connection."""
+
+    async def test_whole_one_is_relayed_as_complete(self) -> None:
+        """Guards against a complete stream that is taken for a broken one."""
+
+        async def unframed(request: ReceivedRequest) -> None:
+            await request.stream.send(UNFRAMED_HEAD + ALL_EVENTS)
+            await request.close()
+
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("p1", unframed, **ALL_LAYERS)
+            response = await harness.request("/once/x", method="POST")
+            assert (response.head.status, response.body) == (200, ALL_EVENTS)
+
+    @pytest.mark.parametrize("cut", [1, 7, len(event_text(1)) - 1])
+    async def test_one_that_ends_inside_an_event_is_resumed(self, cut: int) -> None:
+        """Guards against a stream that looks complete to its caller though its endpoint
+        crashed inside an event."""
+
+        async def break_off(request: ReceivedRequest) -> None:
+            if len(request.endpoint.received) > 1:
+                await send_remaining_events(request)
+                return
+            part = event_text(1) + event_text(2)[:cut]
+            await request.stream.send(UNFRAMED_HEAD + part)
+            await request.close()
+
+        async with router_harness(ROUTES) as harness:
+            endpoint = await harness.start_endpoint("p1", break_off, **ALL_LAYERS)
+            response = await harness.request("/draft/x", method="POST")
+            assert response.body == ALL_EVENTS
+            assert endpoint.received[1].header("resume-after") == "1"
+
+    async def test_one_that_is_not_resumable_does_not_look_complete(self) -> None:
+        async def break_off(request: ReceivedRequest) -> None:
+            await request.stream.send(UNFRAMED_HEAD + event_text(1) + b"id: 2")
+            await request.close()
+
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("p1", break_off, **ALL_LAYERS)
+            with pytest.raises(ConnectionLostError):
+                await harness.request("/once/x", method="POST")
+
+    async def test_one_that_is_reset_does_not_look_complete(self) -> None:
+        async def reset(request: ReceivedRequest) -> None:
+            await request.stream.send(UNFRAMED_HEAD + event_text(1))
+            await anyio.sleep(0.05)
+            await request.reset()
+
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("p1", reset, **ALL_LAYERS)
+            with pytest.raises(ConnectionLostError):
+                await harness.request("/once/x", method="POST")
+
+
 class TestRefusals:
     async def test_request_without_memory_is_refused_before_its_deadline(self) -> None:
         """Guards against retries every 0.5 s until the deadline of a request that all
