--- a/packages/standins/src/hemlockhall_standins/router/load.py
+++ b/packages/standins/src/hemlockhall_standins/router/load.py
@@ -31,8 +31,9 @@
     """Requests that arrive at random moments, ``rate`` a second over all routers.
 
     ``weights`` says how the requests are spread over the routers, evenly if it is
-    empty. ``responses`` are those received so far, and ``routers`` has the index of the
-    router that each request was sent to, by its id.
+    empty. ``responses`` are those received so far, ``sent_responses`` has the time at
+    which each request was sent with its response, None if the connection broke, and
+    ``routers`` the index of the router that each was sent to, by its id.
     """
 
     harness: RouterHarness
@@ -41,6 +42,7 @@
     weights: list[float] = field(default_factory=list)
     sent: int = 0
     responses: list[Response] = field(default_factory=list)
+    sent_responses: list[tuple[float, Response | None]] = field(default_factory=list)
     routers: dict[str, int] = field(default_factory=dict)
 
     def start(self, group: TaskGroup) -> None:
@@ -58,14 +60,17 @@
         index = random.choices(indexes, self.weights or None)[0]  # noqa: S311
         request_id = f"load-{number}"
         self.routers[request_id] = index
+        sent_at = time.monotonic()
         try:
             response = await self.harness.request(
                 self.target, router=index, request_id=request_id
             )
         except TransportError:
             # A router that is stopped just then closes the connection.
+            self.sent_responses.append((sent_at, None))
             return
         self.responses.append(response)
+        self.sent_responses.append((sent_at, response))
 
 
 @dataclass
