Close some connections unread at a host that gets most of them

What callers would see: while the balancer hands most new connections of a region to one host, that host reads the requests of all and serves hardly any in time, though the other hosts are idle.

A host measures how late its event loop runs. If the average is above 50 ms and its callers ask for 1.9 times the mean of all hosts, which it knows from their messages, it serves a smaller and smaller fraction of the new connections, one each 0.5 s at least, until the lateness is gone. Without other hosts in its data centre it serves all, as callers would come back at the same host. Open connections are served on.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -311,6 +311,22 @@
         upper_bound = self.host_count.upper_bound(self.data_centres(), self._clock())
         return min(upper_bound, 1 + self.figures().hosts)
 
+    def relative_demand(self) -> float:
+        """Return this host's demand in multiples of the mean of all hosts.
+
+        It is 1.0 if no other host of its data centre is known.
+        """
+        hosts = local_hosts = weight = 0
+        for data_centre in self.data_centres():
+            hosts += data_centre.hosts
+            # A host of an older version sends no weight.
+            weight += data_centre.demand_weight or data_centre.hosts
+            if data_centre.name == self.own.data_centre:
+                local_hosts = data_centre.hosts
+        if local_hosts <= 1:
+            return 1.0
+        return demand_weight(self.own.demand) * hosts / weight
+
     def peer_store_stable(self) -> bool:
         """Return whether another host reports that its ``store_stable`` is true."""
         now = self._clock()
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -285,6 +285,13 @@
         """Return the number of hosts that the demands cover, with this one."""
         return self._exchange.known_hosts()
 
+    def relative_demand(self) -> float:
+        """Return this host's demand in multiples of the mean of all hosts.
+
+        It is 1.0 if no other host of its data centre is known.
+        """
+        return self._exchange.relative_demand()
+
     def newest_fence(self) -> int:
         """Return the highest fencing token of the planner's lease that is reported."""
         return max(data_centre.fence for data_centre in self._exchange.data_centres())
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -28,6 +28,7 @@
     from hemlockhall_router.membership.message import SegmentVerdict
     from hemlockhall_router.process.admission import Admission
     from hemlockhall_router.process.dialect import TokenCounts
+    from hemlockhall_router.process.intake import Intake
     from hemlockhall_router.request.relay import RelayContext
     from hemlockhall_router.version.routing import Customer, Route, RoutingConfig
 
@@ -66,6 +67,8 @@
         Returns the configuration in force, or None before the first one.
     routing_age_s : callable
         Returns the time since it was last known to be the newest one.
+    intake : Intake
+        Decides which new connections are served.
     """
 
     def __init__(
@@ -74,11 +77,13 @@
         admission: Admission,
         routing: Callable[[], RoutingConfig | None],
         routing_age_s: Callable[[], float],
+        intake: Intake,
     ) -> None:
         self._context = context
         self._admission = admission
         self._routing = routing
         self._routing_age_s = routing_age_s
+        self._intake = intake
         self._idle: set[anyio.CancelScope] = set()
         self._accept_until = self._exit_at = float("inf")
         self.open_requests = 0
@@ -105,6 +110,10 @@
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection until either side closes it."""
+        if not self._intake.accepts():
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+            return
         routing = self._routing()
         reader = CallerReader(stream, routing.limits if routing else CallerLimits())
         try:
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -28,6 +28,7 @@
 from hemlockhall_router.process.dialect import DecodeError, load_dialect
 from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.frontend import Frontend
+from hemlockhall_router.process.intake import Intake
 from hemlockhall_router.process.leadership import Leadership
 from hemlockhall_router.process.lease import Lease
 from hemlockhall_router.process.limits import EndpointLimits
@@ -190,11 +191,13 @@
             self._crashes,
             self.quarantine,
         )
+        self.intake = Intake(self.membership.relative_demand, metrics, time.monotonic)
         self.frontend = Frontend(
             context,
             self.admission,
             lambda: self.routing,
             lambda: self._routing_watch.age_s,
+            self.intake,
         )
         self.leadership = Leadership(self.lease, self.membership)
         self._planner = Planner(
@@ -228,6 +231,7 @@
             group.start_soon(self._endpoints_watch.run)
             group.start_soon(self.membership.run)
             group.start_soon(self._archive.run)
+            group.start_soon(self.intake.run)
             group.start_soon(self._planner.run)
             group.start_soon(self._prober.run)
             group.start_soon(self._run_maintenance)
--- a/tests/router/membership/test_exchange.py
+++ b/tests/router/membership/test_exchange.py
@@ -6,6 +6,7 @@
 
 from hemlockhall_router.membership.message import Load
 from hemlockhall_router.membership.roster import HUBS_PER_DATA_CENTRE
+from hemlockhall_router.process.intake import MIN_RELATIVE_DEMAND
 from hemlockhall_standins.router.network import Host, Network
 
 # Number of hosts and of data centres.
@@ -15,6 +16,7 @@
 CRASH_S = 2.0
 RESTART_S = 1.0
 START_S = 4.0
+CONTACT_S = 3.0
 
 
 def started(hosts: int, data_centres: int, seed: int = 1, **bounds: float) -> Network:
@@ -39,6 +41,22 @@
         network.run(CRASH_S)
         assert {host.hosts() for host in network.live()} == {hosts - 1}
 
+    def test_a_host_with_most_callers_knows_it_in_time(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        """Guards against a host that takes the callers of all for its usual share."""
+        network = started(hosts, data_centres)
+        busy, *others = network.live()
+        for _ in range(4 * int(CONTACT_S)):
+            for _ in range(50):
+                busy.limits.record_request()
+            for host in others:
+                host.limits.record_request()
+            network.run(0.25)
+        assert busy.exchange.relative_demand() > MIN_RELATIVE_DEMAND
+        for host in others:
+            assert host.exchange.relative_demand() <= 1.0
+
     def test_a_restarted_host_rejoins(self, hosts: int, data_centres: int) -> None:
         """Guards against a restarted host that the others still count as dead."""
         network = started(hosts, data_centres)
@@ -222,3 +240,13 @@
         for host in network.live():
             load = host.exchange.loads().get(7)
             assert load is None or load.event_age_ms >= 600
+
+
+class TestDemand:
+    def test_the_only_host_of_a_data_centre_keeps_its_callers(self) -> None:
+        """Guards against callers that are sent away and come back at the same host."""
+        network = started(4, 4)
+        for _ in range(200):
+            network.hosts["host-0"].limits.record_request()
+        network.run(CONTACT_S)
+        assert network.hosts["host-0"].exchange.relative_demand() == 1.0
