Blame a prompt only for an endpoint that is known to have crashed

Endpoints of unproven prompts are probed until it is known. - An attempt that this host ended itself, as its prompt went into quarantine, was recorded as broken by the endpoint. - Evidence of requests that wait at a crash replaced that of earlier crashes, so a prompt that comes often was never found; a fatal segment behind 32 others was left out.

--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -54,6 +54,8 @@
         Returns the monotonic time in seconds.
     quarantine : Quarantine
         Gets the crashes as evidence.
+    request_probes : callable
+        Queues endpoints, by id, for a probe.
     """
 
     def __init__(
@@ -62,10 +64,12 @@
         metrics: Metrics,
         clock: Callable[[], float],
         quarantine: Quarantine,
+        request_probes: Callable[[list[str]], None],
     ) -> None:
         self._directory = directory
         self._metrics = metrics
         self._quarantine = quarantine
+        self._request_probes = request_probes
         self._clock = clock
         self._pending: list[_BrokenAttempt] = []
 
@@ -87,8 +91,12 @@
             self._metrics.count("crash_attempts", "left_out")
             return
         now = self._clock()
+        staying = []
+        for endpoint in endpoints:
+            if not self._directory.is_leaving(endpoint):
+                staying.append(endpoint)
         self._pending.append(
-            _BrokenAttempt(request, endpoints, responded, now, now + CONFIRMATION_S)
+            _BrokenAttempt(request, staying, responded, now, now + CONFIRMATION_S)
         )
 
     def update(self) -> None:
@@ -102,6 +110,9 @@
                 continue
             if now < attempt.deadline:
                 waiting.append(attempt)
+                if not self._quarantine.is_proven(attempt.request):
+                    # A probe may have been left out as it followed another too soon.
+                    self._request_probes([e.id for e in attempt.endpoints])
                 continue
             self._metrics.count("crash_attempts", "endpoint_lives")
         self._pending = waiting
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -461,14 +461,23 @@
     def has_crashed(self, endpoint: Endpoint) -> bool:
         """Return whether this incarnation of an endpoint ended without leaving.
 
-        One that does not answer probes counts as ended, as it may come back.
+        One that does not answer probes counts as ended, although it may come back. The
+        entry of one that crashed stays until it has not been renewed for some time, so
+        one without an entry has left.
         """
         record = self.records.get(endpoint.id)
         if record is None:
-            return not endpoint.draining
+            return False
         if record.endpoint.incarnation != endpoint.incarnation or record.replaced:
             return True
-        return record.down and not record.leaving(time.monotonic())
+        return record.down and not self.is_leaving(endpoint)
+
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether this incarnation of an endpoint shuts down as planned."""
+        record = self.records.get(endpoint.id)
+        if record is None or record.endpoint.incarnation != endpoint.incarnation:
+            return False
+        return record.leaving(time.monotonic())
 
     def _bump_version(self) -> None:
         self.version += 1
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -4,7 +4,7 @@
 
 import random
 import zlib
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import inf
@@ -39,11 +39,11 @@
 SERVED_WAIT_MS = 1000
 # Segments with evidence, evidence of each, segments known to be served, and verdicts
 # that are kept. The least recently used go first.
-MAX_SUSPECTS = 4096
-MAX_EVIDENCE = 8
+MAX_SUSPECTS = 2048
+MAX_EVIDENCE = 24
 MAX_SERVED = 4096
 MAX_VERDICTS = 64
-# Segments of one prompt that a crash is evidence against.
+# Segments of one prompt that a crash is evidence against, unproven ones first.
 MAX_PROMPT_SUSPECTS = 32
 # Time for which evidence and verdicts that are new to this host are passed on, and how
 # many go in one message. Older verdicts follow in turns.
@@ -196,6 +196,10 @@
         wait_s = max(left_ms, TRIAL_INTERVAL_MS) / 1000
         return wait_s + random.uniform(0.0, CALLER_SPREAD_S)  # noqa: S311
 
+    def is_proven(self, request: RoutedRequest) -> bool:
+        """Return whether each segment of a request's prompt was served before."""
+        return all(key in self._served for key in segment_keys(request))
+
     def may_repeat(self, request: RoutedRequest, crashes: CrashCount) -> bool:
         """Return whether a request under which endpoints crashed is sent again."""
         if not self.cfg.enabled:
@@ -238,7 +242,8 @@
         at_ms = shared_clock.at_ms(at)
         crash = crash_key(endpoint)
         service, own = service_key(request.service.name), request_key(request)
-        for key in segment_keys(request)[:MAX_PROMPT_SUSPECTS]:
+        keys = sorted(segment_keys(request), key=lambda key: key in self._served)
+        for key in keys[:MAX_PROMPT_SUSPECTS]:
             self._add(CrashEvidence(key, service, crash, own, at_ms, responded))
 
     def apply(
@@ -380,8 +385,8 @@
         suspect.evidence[name] = entry = _Evidence(item, counts_from_ms, now_ms)
         suspect.last_at_ms = max(suspect.last_at_ms, item.at_ms)
         self._news.append(entry)
-        while len(suspect.evidence) > MAX_EVIDENCE:
-            del suspect.evidence[next(iter(suspect.evidence))]
+        if len(suspect.evidence) > MAX_EVIDENCE:
+            del suspect.evidence[_least_useful(suspect)]
         while len(self._suspects) > MAX_SUSPECTS:
             self._suspects.popitem(last=False)
         if self._is_tried(item.segment) or len(suspect.evidence) >= MIN_REQUESTS:
@@ -488,6 +493,20 @@
         return True
 
 
+def _least_useful(suspect: _Suspect) -> tuple[int, int]:
+    """Return the name of the evidence to drop: of the crash that has most of it.
+
+    Requests that waited go first; what is left has many crashes.
+    """
+    per_crash = Counter(item.item.crash for item in suspect.evidence.values())
+
+    def rank(name: tuple[int, int]) -> tuple[bool, int]:
+        item = suspect.evidence[name].item
+        return (item.responded, -per_crash[item.crash])
+
+    return min(suspect.evidence, key=rank)
+
+
 def segment_keys(request: RoutedRequest) -> tuple[int, ...]:
     """Return the 64-bit keys of the shared segments of a request's prompt.
 
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -174,7 +174,11 @@
         self._archive = VerdictArchive(self._store, self.quarantine)
         self.quarantine.on_verdict = self._archive.request_write
         self._crashes = CrashWatch(
-            self.directory, metrics, time.monotonic, self.quarantine
+            self.directory,
+            metrics,
+            time.monotonic,
+            self.quarantine,
+            self._prober.request_probes,
         )
         context = RelayContext(
             self._dialect,
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -316,6 +316,9 @@
         if exc.may_have_run:
             self._may_have_run = True
             self._record_execution(attempt)
+            if self._context.quarantine.refusal(request) is not None:
+                # This host may have ended the attempt itself.
+                return False
             if self._record_crash(attempt, exc.reason):
                 quarantine = self._context.quarantine
                 self._crashed = not quarantine.may_repeat(request, self._crashes)
--- a/tests/router/test_crash.py
+++ b/tests/router/test_crash.py
@@ -41,7 +41,9 @@
 @pytest.fixture()
 def watch(directory: Directory) -> CrashWatch:
     quarantine = make_quarantine(directory)
-    return CrashWatch(directory, Metrics(), time.monotonic, quarantine)
+    return CrashWatch(
+        directory, Metrics(), time.monotonic, quarantine, lambda ids: None
+    )
 
 
 def attempts(watch: CrashWatch, label: str) -> int:
@@ -49,6 +51,25 @@
 
 
 class TestCrash:
+    def test_an_endpoint_is_probed_until_that_is_known(
+        self, directory: Directory, clock: VirtualClock
+    ) -> None:
+        """Guards against a crash that is missed as the endpoint had been probed just
+        before, and no other request is sent to it."""
+        probed: list[str] = []
+        quarantine = make_quarantine(directory)
+        watch = CrashWatch(
+            directory, Metrics(), time.monotonic, quarantine, probed.extend
+        )
+        watch.record_attempt(request("a", "own"), [ENDPOINT], responded=True)
+        watch.update()
+        assert probed == ["d1"]
+        directory.set_down("d1", down=True)
+        watch.update()
+        watch.update()
+        assert probed == ["d1"]
+        assert attempts(watch, "responded") == 1
+
     def test_an_endpoint_that_is_found_down_crashed(
         self, watch: CrashWatch, directory: Directory, clock: VirtualClock
     ) -> None:
@@ -92,3 +113,25 @@
         clock.advance(CONFIRMATION_S)
         watch.update()
         assert attempts(watch, "responded") == 0
+
+    def test_one_that_left_and_restarted_did_not_crash(
+        self, watch: CrashWatch, directory: Directory
+    ) -> None:
+        """Guards against prompts that are blamed for a planned restart."""
+        directory.record_leaving(ENDPOINT)
+        watch.record_attempt(request("a", "own"), [ENDPOINT], responded=True)
+        directory.records["d1"].endpoint = replace(ENDPOINT, started_ms=2)
+        watch.update()
+        assert attempts(watch, "responded") == 0
+
+    def test_one_whose_entry_was_removed_did_not_crash(
+        self, watch: CrashWatch, directory: Directory, clock: VirtualClock
+    ) -> None:
+        """Guards against prompts that are blamed for an endpoint that removes its entry
+        and ends."""
+        watch.record_attempt(request("a", "own"), [ENDPOINT], responded=True)
+        directory._remove("d1", "removed")
+        watch.update()
+        clock.advance(CONFIRMATION_S)
+        watch.update()
+        assert attempts(watch, "responded") == 0
--- a/tests/router/test_rejection.py
+++ b/tests/router/test_rejection.py
@@ -389,7 +389,7 @@
         limits,
         statements,
         admission,
-        CrashWatch(directory, Metrics(), time.monotonic, quarantine),
+        CrashWatch(directory, Metrics(), time.monotonic, quarantine, lambda ids: None),
         quarantine,
     )
     return Host(context, admission, endpoints)
--- a/tests/router/test_verdict.py
+++ b/tests/router/test_verdict.py
@@ -9,11 +9,13 @@
 
 from hemlockhall_router.connection.message import RequestHead
 from hemlockhall_router.membership.message import CrashEvidence, SegmentVerdict
-from hemlockhall_router.policy.crash import MIN_WAITING_REQUESTS
+from hemlockhall_router.policy.crash import MIN_REQUESTS, MIN_WAITING_REQUESTS
 from hemlockhall_router.process.dialect import PromptSegments
 from hemlockhall_router.process.quarantine import (
     EVIDENCE_TTL_MS,
+    MAX_EVIDENCE,
     MAX_EVIDENCE_SENT,
+    MAX_PROMPT_SUSPECTS,
     MAX_SERVED,
     MAX_SUSPECTS,
     MAX_VERDICTS,
@@ -353,6 +355,33 @@
         assert len(fleet.quarantine._suspects) <= MAX_SUSPECTS
         assert len(fleet.quarantine._served) <= MAX_SERVED
 
+    @pytest.mark.parametrize("responded", [True, False])
+    def test_a_fatal_segment_of_many_waiting_requests_is_found(
+        self, fleet: Fleet, responded: bool
+    ) -> None:
+        """Guards against evidence of those that wait at a crash that replaces the
+        evidence of earlier crashes."""
+        for number in range(1, MIN_WAITING_REQUESTS + 1):
+            if responded:
+                fleet.crash("bad", responded=True, endpoint=number)
+            for _ in range(2 * MAX_EVIDENCE):
+                fleet.crash("bad", responded=False, endpoint=number)
+            fleet.serve("base")
+            fleet.advance()
+        assert fleet.refused("bad")
+        for suspect in fleet.quarantine._suspects.values():
+            assert len(suspect.evidence) <= MAX_EVIDENCE
+
+    def test_a_fatal_segment_among_very_many_is_found(self, fleet: Fleet) -> None:
+        """Guards against a fatal segment behind so many others that it is left out."""
+        proven = [f"part-{number}" for number in range(2 * MAX_PROMPT_SUSPECTS)]
+        fleet.serve(*proven)
+        for _ in range(MIN_REQUESTS):
+            fleet.crash(*proven, "bad")
+            fleet.serve(*proven)
+            fleet.advance()
+        assert fleet.refused("bad")
+
     def test_the_fatal_segment_is_among_the_first_to_be_told(
         self, fleet: Fleet
     ) -> None:
