Give up no request at silent endpoints as if these had crashed

Now an attempt counts if its endpoint closed the connection, or if an endpoint on its path is known to have crashed. test_a_request_at_silent_endpoints_is_repeated failed before and passes.

Besides: broken attempts that wait for the end of their endpoint keep no bodies, and only the one endpoint that broke off an unproven prompt is probed again, not a whole silent path.

--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -1,8 +1,8 @@
-"""Attempts that ended together with the endpoint that was about to respond."""
+"""Attempts that ended together with an endpoint, before it served the request."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -29,9 +29,9 @@
 
 @dataclass(slots=True)
 class _BrokenAttempt:
-    """An attempt that ended at ``at`` before its first event, a monotonic time.
+    """An attempt that ended before the request was served.
 
-    It is dropped at ``deadline``.
+    That was at ``at``, a monotonic time; it is dropped at ``deadline``.
     """
 
     request: RoutedRequest
@@ -42,7 +42,7 @@
 
 
 class CrashWatch:
-    """Finds which endpoints crashed while they were to respond to a request.
+    """Finds which endpoints crashed under requests that they were to serve.
 
     Parameters
     ----------
@@ -76,7 +76,7 @@
     def record_attempt(
         self, request: RoutedRequest, endpoints: Sequence[Endpoint], *, responded: bool
     ) -> None:
-        """Record an attempt that ended before its first event.
+        """Record an attempt that ended before the request was served.
 
         Parameters
         ----------
@@ -85,7 +85,7 @@
         endpoints : sequence of Endpoint
             Those of which one may have crashed, as they were when it was sent.
         responded : bool
-            Whether the head of the response had arrived.
+            Whether the head of a response had arrived, and no event.
         """
         if len(self._pending) >= MAX_PENDING:
             self._metrics.count("crash_attempts", "left_out")
@@ -95,6 +95,8 @@
         for endpoint in endpoints:
             if not self._directory.is_leaving(endpoint):
                 staying.append(endpoint)
+        # Without the body, which may be large.
+        request = replace(request, body=b"")
         self._pending.append(
             _BrokenAttempt(request, staying, responded, now, now + CONFIRMATION_S)
         )
@@ -110,13 +112,21 @@
                 continue
             if now < attempt.deadline:
                 waiting.append(attempt)
-                if not self._quarantine.is_proven(attempt.request):
-                    # A probe may have been left out as it followed another too soon.
-                    self._request_probes([e.id for e in attempt.endpoints])
+                self._probe(attempt)
                 continue
             self._metrics.count("crash_attempts", "endpoint_lives")
         self._pending = waiting
 
+    def _probe(self, attempt: _BrokenAttempt) -> None:
+        """Let an endpoint that broke off an unproven prompt be probed again.
+
+        The probe at the end of the attempt may have been left out, as it followed
+        another too soon. The endpoints of a silent path are probed anyway.
+        """
+        if len(attempt.endpoints) > 1 or self._quarantine.is_proven(attempt.request):
+            return
+        self._request_probes([endpoint.id for endpoint in attempt.endpoints])
+
     def _crashed_endpoint(self, attempt: _BrokenAttempt) -> Endpoint | None:
         for endpoint in attempt.endpoints:
             if self._directory.has_crashed(endpoint):
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -331,14 +331,14 @@
         return self._retry_reserve() is not None
 
     def _record_crash(self, attempt: Attempt, reason: RetryReason) -> bool:
-        """Record an attempt if it may have ended together with an endpoint.
+        """Record a broken attempt; return whether an endpoint seems to have crashed.
 
-        Once an endpoint has served the request, that is for another reason.
+        An endpoint that broke it off may have crashed; of those on a silent path one
+        has if it is known to. Once the request was served, it is not the cause.
         """
         self._served = self._served or attempt.served
         if reason not in CRASH_REASONS or self._served:
             return False
-        # Only the first endpoint is known to have closed its connection.
         endpoints = attempt.path.endpoints
         if reason is RetryReason.BROKEN:
             endpoints = endpoints[:1]
@@ -346,8 +346,13 @@
         self._context.crashes.record_attempt(
             self._request, endpoints, responded=responded
         )
-        self._crashes.add(endpoints[0], responded=responded)
-        return True
+        for endpoint in endpoints:
+            if reason is not RetryReason.BROKEN:
+                if not self._context.directory.has_crashed(endpoint):
+                    continue
+            self._crashes.add(endpoint, responded=responded)
+            return True
+        return False
 
     async def _find_path(self) -> Path | None:
         """Return a path, or None if there is none after a wait.
--- a/tests/router/test_crash.py
+++ b/tests/router/test_crash.py
@@ -135,3 +135,12 @@
         clock.advance(CONFIRMATION_S)
         watch.update()
         assert attempts(watch, "responded") == 0
+
+    def test_bodies_are_not_kept(self, watch: CrashWatch) -> None:
+        """Guards against a host that runs out of memory as endpoints crash under many
+        large prompts."""
+        routed = request("a", "own")
+        routed.body = b"x" * 1000
+        watch.record_attempt(routed, [ENDPOINT], responded=True)
+        assert [attempt.request.body for attempt in watch._pending] == [b""]
+        assert routed.body
--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -15,6 +15,7 @@
 from hemlockhall_router.connection.error import TransportError
 from hemlockhall_standins.router.crashing import EVENTS, CrashingPool
 from hemlockhall_standins.router.dialect import RouteRow
+from hemlockhall_standins.router.endpoint import ReceivedRequest
 from hemlockhall_standins.router.harness import RouterHarness, router_harness
 from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
 
@@ -197,6 +198,33 @@
             assert await bad.request() == 502
         assert len(pool.crashes) <= CRASHES - 1
 
+    async def test_a_request_at_silent_endpoints_is_repeated(self) -> None:
+        """Guards against requests that are given up as if endpoints had crashed under
+        them, while these are only slow."""
+        route = RouteRow(
+            "/draft/", "stream", "pool", tries=6, resumable=True, timeout_s=30.0
+        )
+        # The model has no such accelerator, so the planner sends no orders.
+        row = {"service": "pool", "layers": (0, 8), "accelerator": "unplanned"}
+        arrived: list[str] = []
+
+        async def serve(received: ReceivedRequest) -> None:
+            arrived.append(received.endpoint.name)
+            await received.begin()
+            if len(set(arrived)) <= 3:
+                await received.reader.wait_disconnect()
+                return
+            await received.event(1)
+            await received.end()
+
+        async with router_harness([route]) as harness:
+            for number in range(6):
+                await harness.start_endpoint(f"p{number}", serve, **row)
+            headers = {"segments": "base new own"}
+            response = await harness.request("/draft/", headers=headers)
+        assert response.head.status == 200
+        assert len(set(arrived)) == 4
+
 
 class TestCallers:
     async def test_they_are_refused_at_once_and_told_when_to_come_back(self) -> None:
