Bound the segments of a prompt in log lines

A caller chooses how many segments it states and how long their ids are; a line of a broken stream could be longer than the sink's limit of 4,000 bytes, and then is no valid JSON. One place shortens them now, for both lines. test_segments_in_a_line_are_bounded is new.

--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -23,8 +23,6 @@
 CONFIRMATION_S = 3.0
 # Attempts that wait for it.
 MAX_PENDING = 512
-# Segments of a prompt in one log line.
-MAX_LOGGED_SEGMENTS = 8
 
 
 @dataclass(slots=True)
@@ -144,7 +142,7 @@
             endpoint=endpoint.id,
             started_ms=endpoint.started_ms,
             responded=attempt.responded,
-            segments=request.segments.shared[:MAX_LOGGED_SEGMENTS],
+            segments=request.segments.logged,
         )
         self._quarantine.record_crash(
             request, endpoint, attempt.at, responded=attempt.responded
--- a/packages/router/src/hemlockhall_router/process/dialect.py
+++ b/packages/router/src/hemlockhall_router/process/dialect.py
@@ -29,6 +29,11 @@
     from hemlockhall_router.version.routing import RoutingConfig
 
 
+# Segments of a prompt in one log line, and characters of each: callers choose both.
+MAX_LOGGED_SEGMENTS = 8
+MAX_LOGGED_SEGMENT_CHARS = 40
+
+
 class DecodeError(Exception):
     """A row or report could not be decoded; the text names the field or
     row, or the status of the response that should hold a report.
@@ -98,6 +103,14 @@
     shared: tuple[str, ...] = ()
     own: str = ""
 
+    @property
+    def logged(self) -> list[str]:
+        """The first shared segments, shortened for a log line."""
+        return [
+            segment[:MAX_LOGGED_SEGMENT_CHARS]
+            for segment in self.shared[:MAX_LOGGED_SEGMENTS]
+        ]
+
 
 class Dialect(ABC):
     """Names and formats of one platform; holds no routing logic.
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -74,8 +74,6 @@
 # given up at this limit: one attempt per EXTRA_ATTEMPT_INTERVAL_S follows.
 MAX_ATTEMPTS = 12
 EXTRA_ATTEMPT_INTERVAL_S = 0.5
-# Segments of a prompt in one log line.
-MAX_LOGGED_SEGMENTS = 8
 
 
 class StreamRelay:
@@ -295,7 +293,7 @@
             cause=cause,
             path=attempt.endpoint_ids,
             responded=attempt.responded,
-            segments=self._request.segments.shared[:MAX_LOGGED_SEGMENTS],
+            segments=self._request.segments.logged,
             after=decode_value(self._last_id or b""),
         )
 
--- a/tests/router/test_crash.py
+++ b/tests/router/test_crash.py
@@ -144,3 +144,10 @@
         watch.record_attempt(routed, [ENDPOINT], responded=True)
         assert [attempt.request.body for attempt in watch._pending] == [b""]
         assert routed.body
+
+
+class TestLog:
+    def test_segments_in_a_line_are_bounded(self) -> None:
+        """Guards against log lines that a caller makes as long as its headers."""
+        segments = PromptSegments(tuple("x" * 5000 for _ in range(100)), "own")
+        assert sum(map(len, segments.logged)) <= 400
