Show that a router accepts streams in its shutdown and cuts them off

Cause: the expected duration of a stream is 15 ms a token, whatever its route allows. Ruled out: requests of the first 3 s, which the rule excuses, are not counted.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit 1: the rule was broken; 0: it held; 2: the case could not run. See claim.txt.
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 "$(dirname "$0")/case.py"
