Let the servers of the shutdown case be as fast as their configuration says

A step takes 24 ms by the configuration (1.6 ms x 15), where it said 12.75 ms before, so that a slow server can't be the cause.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -37,6 +37,9 @@
 RESTART_S = 0.5
 # A stream of the sheet: 84 events of 2 tokens; pauses of up to 200 ms are on time.
 EVENTS = 84
+# The servers are as fast as the configuration says: a step takes 15 (``pace`` of a t4)
+# times STEP_MS, 24 ms, and an event holds two tokens.
+STEP_MS = 1.6
 PAUSE_S = 0.05
 # From this time after a SIGTERM on, no work that is cut is excused.
 EXCUSED_S = 3.0
@@ -153,7 +156,7 @@
         "name": "hemlock-pool",
         "healthPath": "/healthz",
         "maxConns": 1128,
-        "engine": engine(8),
+        "engine": engine(8, STEP_MS),
     }
     body = {
         "version": 7,
--- a/review/model_server.py
+++ b/review/model_server.py
@@ -20,7 +20,7 @@
 ENTRY_LAG_S = 0.8
 
 
-def engine(layers: int) -> dict[str, Any]:
+def engine(layers: int, step_ms: float = 0.85) -> dict[str, Any]:
     """Return the ``engine`` of a service."""
     kinds = [
         {"name": "h100", "mb": CARDS["h100"], "pace": 1.4, "readFactor": 1.0},
@@ -33,7 +33,7 @@
         "linkMbps": 480_000.0,
         "stride": 2,
         "models": [{"name": "m", "pace": 1.0, "loadS": 14.0, "warmupS": 1.0}],
-        "step_ms": 0.85,
+        "step_ms": step_ms,
         "per_seq_ms": 0.00764,
         "context_per_k": 0.01024,
         "read_per_s": 196_000.0,
