--- a/review/1/case.py
+++ b/review/1/case.py
@@ -165,7 +165,7 @@
 
 async def main() -> int:
     """Return 1 if the rule was broken, 0 if it held."""
-    record = Record(FOLDER)
+    record = Record(FOLDER, "record.txt")
     host = loopback_host()
     store = Store()
     await store.start(host)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -185,7 +185,7 @@
 
 async def main() -> int:
     """Return 1 if the rule was broken, 0 if it held."""
-    record = Record(FOLDER)
+    record = Record(FOLDER, "record.txt")
     host = loopback_host()
     store = Store()
     await store.start(host)
--- a/review/standins.py
+++ b/review/standins.py
@@ -44,11 +44,11 @@
 
 
 class Record:
-    """The file ``record.txt``: what was sent, answered and run, with times."""
+    """A file with what was sent, answered and run, with times."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, name: str = "record.txt") -> None:
         self._began = time.monotonic()
-        self._file = (folder / "record.txt").open("w")
+        self._file = (folder / name).open("w")
 
     def now(self) -> float:
         """Return the seconds since the script began."""
