--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -40,6 +40,7 @@
 from hemlockhall_router.process.setting import SettingsError, load_settings
 from hemlockhall_router.process.statement import EndpointStatements
 from hemlockhall_router.process.store import Table
+from hemlockhall_router.process.supervisor import Supervisor
 from hemlockhall_router.process.timing import Timing
 from hemlockhall_router.process.watch import Watch
 from hemlockhall_router.request.relay import RelayContext
@@ -88,6 +89,7 @@
         self._path = path
         self._settings = settings
         self._metrics = metrics
+        self._supervisor = Supervisor(metrics)
         self._run_id = secrets.token_hex(4)
         host = settings.host
         self._dialect = load_dialect(host.dialect, host.dialect_module)
@@ -234,15 +236,19 @@
             # The callers' port must accept before readiness is reported.
             await group.start(self._listen, listen.callers, self.frontend.serve)
             await group.start(self._listen, listen.ready, self._serve_health)
-            group.start_soon(self._routing_watch.run)
-            group.start_soon(self._endpoints_watch.run)
-            group.start_soon(self.membership.run)
-            group.start_soon(self._archive.run)
-            group.start_soon(self.intake.run)
-            group.start_soon(self._planner.run)
-            group.start_soon(self._prober.run)
-            group.start_soon(self._run_maintenance)
-            group.start_soon(self._watch_settings)
+            tasks = {
+                "routing": self._routing_watch.run,
+                "endpoints": self._endpoints_watch.run,
+                "membership": self.membership.run,
+                "verdicts": self._archive.run,
+                "intake": self.intake.run,
+                "planner": self._planner.run,
+                "prober": self._prober.run,
+                "maintenance": self._run_maintenance,
+                "settings": self._watch_settings,
+            }
+            for name, task in tasks.items():
+                group.start_soon(self._supervisor.run, name, task)
 
     @property
     def ready(self) -> bool:
