Reject whatever cannot be decoded, with one error

Callers saw connections closed without an answer to bookings that had run, up to ten at each host, and then hardly any response: an entry of another writer in the endpoint table ended every router about once a second while it stayed.

Each decoder listed the errors it knew of; a nested value in a field that is not even used raises RecursionError, int() of a port ValueError. Any error in a background task ends the process, and the row is read again at the start.

Ruled out by the log: a later use of the row, and an end without an exception.

--- /dev/null
+++ b/packages/router/src/hemlockhall_router/connection/decoding.py
@@ -0,0 +1,92 @@
+"""Decoding of what other processes wrote: rows, reports, messages and headers."""
+
+from __future__ import annotations
+
+import ipaddress
+from contextlib import contextmanager
+from functools import lru_cache
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# Counts, versions and times in milliseconds. Sums of many of them still fit into the
+# 64-bit integers of MessagePack, and floats represent each exactly.
+MAX_INTEGER = 2**53 - 1
+# Layers of a model; bounds work that is done for each layer.
+MAX_LAYERS = 65_535
+# Ports are below this number.
+PORT_LIMIT = 65_536
+MAX_PORT_DIGITS = 5
+# Characters of an error's text in ``DecodeError``.
+MAX_CAUSE_CHARS = 200
+# Entries in the cache of parsed addresses.
+ADDRESS_CACHE_SIZE = 1024
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+LayerNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
+
+
+class DecodeError(Exception):
+    """A row, report, message or header could not be decoded.
+
+    The text names it, and the field or the status of the response where known.
+    """
+
+
+@contextmanager
+def decoding(what: str) -> Iterator[None]:
+    """Raise ``DecodeError`` for any error in the block; ``what`` is being decoded.
+
+    Input can make a decoder raise other errors than its own: ``RecursionError`` if it
+    is deeply nested, ``ValueError`` or ``OverflowError`` for numbers.
+    """
+    try:
+        yield
+    except DecodeError:
+        raise
+    except Exception as exc:
+        cause = f"{type(exc).__name__}: {exc}"[:MAX_CAUSE_CHARS]
+        raise DecodeError(f"malformed {what}: {cause}") from exc
+
+
+def decode_number(value: bytes) -> int | None:
+    """Return a number of decimal digits, or None; at most ``MAX_INTEGER``."""
+    digits = value.strip()
+    if not digits.isdigit():
+        return None
+    digits = digits.lstrip(b"0") or b"0"
+    if len(digits) > len(str(MAX_INTEGER)):
+        return MAX_INTEGER
+    return min(int(digits), MAX_INTEGER)
+
+
+@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
+def parse_address(address: str) -> tuple[str, int] | None:
+    """Return the IPv4 address and the port in ``ip:port``, or None."""
+    host, _, digits = address.rpartition(":")
+    if not digits.isascii() or not digits.isdigit() or len(digits) > MAX_PORT_DIGITS:
+        return None
+    port = int(digits)
+    if not 0 < port < PORT_LIMIT:
+        return None
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    return host, port
+
+
+__all__ = [
+    "Count",
+    "DecodeError",
+    "Integer",
+    "LayerNumber",
+    "MAX_INTEGER",
+    "decode_number",
+    "decoding",
+    "parse_address",
+]
--- a/packages/router/src/hemlockhall_router/connection/link.py
+++ b/packages/router/src/hemlockhall_router/connection/link.py
@@ -12,6 +12,7 @@
 import anyio
 import msgspec
 
+from hemlockhall_router.connection.decoding import Count, DecodeError, decoding
 from hemlockhall_router.connection.error import TransportError
 
 if TYPE_CHECKING:
@@ -35,7 +36,7 @@
 
     key: str
     value: bytes
-    version: int
+    version: Count
     deleted: bool
 
 
@@ -43,7 +44,7 @@
     """Requests the rows of a table that changed after version ``after``."""
 
     table: str
-    after: int
+    after: Count
 
 
 class Delta(msgspec.Struct, frozen=True, tag="delta"):
@@ -53,7 +54,7 @@
     """
 
     table: str
-    version: int
+    version: Count
     whole: bool
     rows: list[TableRow]
 
@@ -99,10 +100,7 @@
                 f"a message of {length} bytes exceeds the limit of {MAX_MESSAGE_BYTES}"
             )
         data = await self._read_exactly(length, deadline)
-        try:
-            return _decoder.decode(_decompress(data))
-        except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as exc:
-            raise LinkError(f"invalid message: {exc}") from exc
+        return decode(data)
 
     async def _read_exactly(self, count: int, deadline: float) -> bytes:
         while len(self._buffer) < count:
@@ -142,6 +140,15 @@
             await anyio.aclose_forcefully(self._stream)
 
 
+def decode(data: bytes) -> Message:
+    """Return the message in compressed bytes; raise ``LinkError`` if there is none."""
+    try:
+        with decoding("message"):
+            return _decoder.decode(_decompress(data))
+    except DecodeError as exc:
+        raise LinkError(str(exc)) from exc
+
+
 def _decompress(data: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     body = decompressor.decompress(data, MAX_MESSAGE_BYTES)
@@ -159,4 +166,5 @@
     "LinkError",
     "Message",
     "TableRow",
+    "decode",
 ]
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -18,6 +18,11 @@
 import msgspec
 from loguru import logger
 
+from hemlockhall_router.connection.decoding import (
+    DecodeError,
+    decoding,
+    parse_address,
+)
 from hemlockhall_router.connection.error import TransportError
 from hemlockhall_router.connection.link import Delta, Fetch, Link, TableRow
 from hemlockhall_router.membership.exchange import Exchange
@@ -530,9 +535,17 @@
 
     def _add_seed(self, row: Row) -> None:
         try:
-            host_row = msgspec.json.decode(row.value, type=HostRow)
-        except msgspec.DecodeError:
-            logger.warning("malformed row in the hosts table", host=row.key)
+            with decoding("row of a host"):
+                host_row = msgspec.json.decode(row.value, type=HostRow)
+        except DecodeError as exc:
+            logger.warning(
+                "malformed row in the hosts table", host=row.key, cause=str(exc)
+            )
+            return
+        if parse_address(host_row.address) is None:
+            logger.warning(
+                "no address in the hosts table", host=row.key, address=host_row.address
+            )
             return
         if row.key != self._own.name:
             self._exchange.add_seed(host_row.address)
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -2,21 +2,28 @@
 
 from __future__ import annotations
 
-import ipaddress
 import zlib
-from functools import lru_cache
+from typing import Annotated
 
 import msgspec
 
+from hemlockhall_router.connection.decoding import (
+    MAX_INTEGER,
+    DecodeError,
+    Integer,
+    LayerNumber,
+    decoding,
+    parse_address,
+)
+
 # Incremented with each change of the messages that an older host would misread.
 PROTOCOL_VERSION = 1
 # Longer datagrams are fragmented by IP, and lost with any of their fragments. Not
 # enforced: the limits of lists in ``exchange`` and ``tally`` keep messages short.
 MAX_DATAGRAM_BYTES = 1400
-# Entries in the cache of validated addresses.
-ADDRESS_CACHE_SIZE = 1024
-# Ports are below this number.
-PORT_LIMIT = 65_536
+
+# Requests per second.
+Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class MessageError(Exception):
@@ -37,12 +44,12 @@
     name: str
     address: str
     data_centre: str
-    capacity: int
+    capacity: Integer
     boot: str
     leaving: bool = False
-    age_ms: int = 0
+    age_ms: Integer = 0
     store_unreachable: bool = False
-    demand: int = 0
+    demand: Integer = 0
 
 
 class TableVersion(msgspec.Struct, frozen=True, array_like=True):
@@ -55,9 +62,9 @@
     """
 
     table: str
-    last_change: int
-    complete_to: int
-    age_ms: int
+    last_change: Integer
+    complete_to: Integer
+    age_ms: Integer
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -69,11 +76,11 @@
     collide are not told apart.
     """
 
-    endpoint: int
-    requests: int
-    tokens: int
-    prefill_tokens: int
-    event_age_ms: int
+    endpoint: Integer
+    requests: Integer
+    tokens: Integer
+    prefill_tokens: Integer
+    event_age_ms: Integer
 
 
 class LayerUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -84,11 +91,11 @@
     newer. The layers are ``first`` up to but not including ``end``.
     """
 
-    endpoint: int
-    started_ms: int
-    order_count: int
-    first: int
-    end: int
+    endpoint: Integer
+    started_ms: Integer
+    order_count: Integer
+    first: LayerNumber
+    end: LayerNumber
 
 
 class RetryUsage(msgspec.Struct, frozen=True, array_like=True):
@@ -98,10 +105,10 @@
     for a host; ``taken`` counts those that were taken.
     """
 
-    service: int
-    requests: int
-    retries: int
-    taken: int = 0
+    service: Integer
+    requests: Integer
+    retries: Integer
+    taken: Integer = 0
 
 
 class RetryRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -110,9 +117,9 @@
     ``counts`` begins with that of the bucket ``first`` of the shared clock.
     """
 
-    service: int
-    first: int
-    counts: list[int]
+    service: Integer
+    first: Integer
+    counts: list[Integer]
 
 
 class RequestLimit(msgspec.Struct, frozen=True, array_like=True):
@@ -123,10 +130,10 @@
     endpoint stated none any more.
     """
 
-    endpoint: int
-    started_ms: int
-    rate: float | None
-    stated_at_ms: int
+    endpoint: Integer
+    started_ms: Integer
+    rate: Rate | None
+    stated_at_ms: Integer
 
 
 class LeavingNotice(msgspec.Struct, frozen=True, array_like=True):
@@ -135,8 +142,8 @@
     ``started_ms`` identifies the run of its process.
     """
 
-    endpoint: int
-    started_ms: int
+    endpoint: Integer
+    started_ms: Integer
 
 
 class CrashEvidence(msgspec.Struct, frozen=True, array_like=True):
@@ -149,10 +156,10 @@
     """
 
     segment: int
-    service: int
-    crash: int
-    request: int
-    at_ms: int
+    service: Integer
+    crash: Integer
+    request: Integer
+    at_ms: Integer
     responded: bool
 
 
@@ -165,9 +172,9 @@
     """
 
     segment: int
-    since_ms: int
-    decided_at_ms: int
-    expires_at_ms: int
+    since_ms: Integer
+    decided_at_ms: Integer
+    expires_at_ms: Integer
 
     @property
     def quarantined(self) -> bool:
@@ -186,8 +193,8 @@
     ``offered`` is in cost units per second.
     """
 
-    priority: int
-    offered: int
+    priority: Integer
+    offered: Integer
 
 
 class ServiceDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -199,11 +206,11 @@
     room rejected. ``classes`` are in order of their priorities.
     """
 
-    service: int
-    in_flight: int
-    completed: int
-    sent: int
-    rejected: int
+    service: Integer
+    in_flight: Integer
+    completed: Integer
+    sent: Integer
+    rejected: Integer
     classes: list[ClassDemand]
 
 
@@ -214,10 +221,10 @@
     whose keys collide are not told apart.
     """
 
-    service: int
-    priority: int
-    customer: int
-    offered: int
+    service: Integer
+    priority: Integer
+    customer: Integer
+    offered: Integer
 
 
 class DataCentre(msgspec.Struct, frozen=True, array_like=True):
@@ -232,13 +239,13 @@
     """
 
     name: str
-    hosts: int
-    active_hosts: int
+    hosts: Integer
+    active_hosts: Integer
     lowest_name: str
-    fence: int
+    fence: Integer
     store_stable: bool
     usage: list[RetryUsage] = []
-    demand_weight: int = 0
+    demand_weight: Integer = 0
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -262,12 +269,12 @@
     not send ``demand_hosts`` counts as 0 hosts.
     """
 
-    protocol: int = PROTOCOL_VERSION
+    protocol: Integer = PROTOCOL_VERSION
     sender: Contact
     table_versions: list[TableVersion]
     loads: list[Load]
-    down: list[int]
-    presumed_draining: list[int]
+    down: list[Integer]
+    presumed_draining: list[Integer]
     layer_updates: list[LayerUpdate]
     contacts: list[Contact]
 
@@ -275,15 +282,15 @@
 class Report(Message, frozen=True, array_like=True, kw_only=True, tag="report"):
     """Report of a host about itself, sent to the hubs of its data centre."""
 
-    fence: int
+    fence: Integer
     store_stable: bool
     usage: list[RetryUsage] = []
-    clock_ms: int = 0
+    clock_ms: Integer = 0
     limits: list[RequestLimit] = []
     leaving: list[LeavingNotice] = []
     demands: list[ServiceDemand] = []
     customers: list[CustomerDemand] = []
-    demand_hosts: int = 0
+    demand_hosts: Integer = 0
     crashes: list[CrashEvidence] = []
     verdicts: list[SegmentVerdict] = []
     retries: list[RetryRecord] = []
@@ -298,33 +305,33 @@
     """
 
     data_centres: list[DataCentre]
-    clock_ms: int = 0
+    clock_ms: Integer = 0
     limits: list[RequestLimit] = []
     leaving: list[LeavingNotice] = []
     demands: list[ServiceDemand] = []
     customers: list[CustomerDemand] = []
-    demand_hosts: int = 0
+    demand_hosts: Integer = 0
     crashes: list[CrashEvidence] = []
     verdicts: list[SegmentVerdict] = []
     history: list[RetryRecord] = []
-    covered_ms: int = 0
+    covered_ms: Integer = 0
 
 
 class Summary(Message, frozen=True, array_like=True, kw_only=True, tag="summary"):
     """State of the sender's data centre, sent to the hubs of the other ones."""
 
     data_centre: DataCentre
-    clock_ms: int = 0
+    clock_ms: Integer = 0
     limits: list[RequestLimit] = []
     leaving: list[LeavingNotice] = []
     demands: list[ServiceDemand] = []
     customers: list[CustomerDemand] = []
-    demand_hosts: int = 0
+    demand_hosts: Integer = 0
     crashes: list[CrashEvidence] = []
     verdicts: list[SegmentVerdict] = []
     retries: list[RetryRecord] = []
     history: list[RetryRecord] = []
-    covered_ms: int = 0
+    covered_ms: Integer = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -339,16 +346,17 @@
 def decode(data: bytes) -> Report | Digest | Summary:
     """Return the message in a datagram; raise ``MessageError`` if it is unusable."""
     try:
-        message = _decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise MessageError(f"malformed datagram: {exc}") from exc
+        with decoding("datagram"):
+            message = _decoder.decode(data)
+    except DecodeError as exc:
+        raise MessageError(str(exc)) from exc
     if message.protocol != PROTOCOL_VERSION:
         raise MessageError(
             f"protocol {message.protocol} is not {PROTOCOL_VERSION}; "
             "update the older host"
         )
     for contact in (message.sender, *message.contacts):
-        if not _is_address(contact.address):
+        if parse_address(contact.address) is None:
             raise MessageError(
                 f"not an IPv4 address and port: {contact.address!r:.60}; "
                 "correct listen.hosts in the settings of the host that has it"
@@ -356,16 +364,6 @@
     return message
 
 
-@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return port.isdecimal() and 0 < int(port) < PORT_LIMIT
-
-
 def endpoint_key(endpoint_id: str) -> int:
     """Return the 32-bit key of an endpoint in messages, the CRC-32 of its id."""
     return zlib.crc32(endpoint_id.encode())
--- a/packages/router/src/hemlockhall_router/process/archive.py
+++ b/packages/router/src/hemlockhall_router/process/archive.py
@@ -9,6 +9,7 @@
 import msgspec
 from loguru import logger
 
+from hemlockhall_router.connection.decoding import DecodeError, decoding
 from hemlockhall_router.membership.message import SegmentVerdict
 from hemlockhall_router.process.store import (
     Store,
@@ -107,9 +108,10 @@
     def _apply(self, row: Row) -> None:
         self._version = row.version
         try:
-            self._stored = msgspec.json.decode(row.value, type=VerdictRow).verdicts
-        except msgspec.DecodeError:
-            logger.warning("malformed row of verdicts", key=row.key)
+            with decoding("row of verdicts"):
+                self._stored = msgspec.json.decode(row.value, type=VerdictRow).verdicts
+        except DecodeError as exc:
+            logger.warning("malformed row of verdicts", key=row.key, cause=str(exc))
             self._stored = []
         self._quarantine.apply([], self._stored)
 
--- a/packages/router/src/hemlockhall_router/process/dialect.py
+++ b/packages/router/src/hemlockhall_router/process/dialect.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
+from hemlockhall_router.connection.decoding import DecodeError
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -34,12 +36,6 @@
 MAX_LOGGED_SEGMENT_CHARS = 40
 
 
-class DecodeError(Exception):
-    """A row or report could not be decoded; the text names the field or
-    row, or the status of the response that should hold a report.
-    """
-
-
 @dataclass(slots=True, frozen=True)
 class HeaderNames:
     """Names of HTTP headers, in lower case.
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from hemlockhall_router.connection.caller import CallerLimits, CallerReader
+from hemlockhall_router.connection.decoding import decode_number
 from hemlockhall_router.connection.error import CallerDisconnectedError, CallerError
 from hemlockhall_router.process.quarantine import QUARANTINED_TEXT
 from hemlockhall_router.request.plain import PlainRelay
@@ -306,9 +307,8 @@
 
     def _requested_timeout_s(self, head: RequestHead) -> float:
         value = head.header(self._context.dialect.headers.deadline_ms)
-        if value is None or not value.strip().isdigit():
-            return DEFAULT_TIMEOUT_S
-        return int(value) / 1000
+        timeout_ms = decode_number(value) if value is not None else None
+        return DEFAULT_TIMEOUT_S if timeout_ms is None else timeout_ms / 1000
 
     def _request_id(self, head: RequestHead) -> bytes:
         return head.header(self._context.dialect.headers.request_id) or b""
--- a/packages/router/src/hemlockhall_router/process/lease.py
+++ b/packages/router/src/hemlockhall_router/process/lease.py
@@ -8,6 +8,7 @@
 import msgspec
 from loguru import logger
 
+from hemlockhall_router.connection.decoding import DecodeError, decoding
 from hemlockhall_router.process.store import (
     Store,
     StoreError,
@@ -144,9 +145,10 @@
 
     def _held_by_another(self, row: Row, store_time_s: float) -> bool:
         try:
-            lease_row = msgspec.json.decode(row.value, type=LeaseRow)
-        except msgspec.DecodeError:
-            logger.warning("lease row unreadable; overwriting it")
+            with decoding("row of the lease"):
+                lease_row = msgspec.json.decode(row.value, type=LeaseRow)
+        except DecodeError as exc:
+            logger.warning("lease row unreadable; overwriting it", cause=str(exc))
             return False
         # An earlier run of this host wrote the row, and has ended.
         if lease_row.holder == self._name:
--- a/packages/standins/src/hemlockhall_standins/router/dialect.py
+++ b/packages/standins/src/hemlockhall_standins/router/dialect.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from hemlockhall_router.connection.caller import CallerLimits
+from hemlockhall_router.connection.decoding import DecodeError, decoding
 from hemlockhall_router.process.dialect import (
-    DecodeError,
     Dialect,
     EndpointCall,
     HeaderNames,
@@ -173,10 +173,8 @@
 
     def decode_routing(self, key: str, value: bytes) -> RoutingConfig | None:
         """Decode a ``RoutingRow``."""
-        try:
+        with decoding(f"row {key!r}"):
             row = msgspec.json.decode(value, type=RoutingRow)
-        except msgspec.DecodeError as exc:
-            raise DecodeError(str(exc)) from exc
         limits = CallerLimits(
             row.header_bytes, row.body_bytes, row.header_s, row.idle_s
         )
@@ -198,8 +196,9 @@
     def decode_endpoint(self, key: str, value: bytes) -> Endpoint | None:
         """Decode an ``EndpointRow``."""
         try:
-            row = msgspec.json.decode(value, type=EndpointRow)
-        except msgspec.DecodeError:
+            with decoding(f"row {key!r}"):
+                row = msgspec.json.decode(value, type=EndpointRow)
+        except DecodeError:
             return None
         return Endpoint(
             id=key,
@@ -261,10 +260,8 @@
 
     def decode_report(self, body: bytes) -> EndpointReport:
         """Decode a ``ReportRow``."""
-        try:
+        with decoding("report"):
             row = msgspec.json.decode(body, type=ReportRow)
-        except msgspec.DecodeError as exc:
-            raise DecodeError(str(exc)) from exc
         layers = LayerRange(*row.layers) if row.layers else None
         return EndpointReport(row.busy, row.orders, 0, 0, 0, 0, layers, row.born)
 
