Keep an error in one task of a router from ending the process

Each task is now supervised: an error is logged and counted (internal_errors, by task), and the task begins again after half a second, so that it does not spin. Within a task, one row, one message, one step of the periodic work, the plan of one service and one order are contained by themselves, so what stands beside them goes on; the version of a table is not ahead of what was applied but for a row that cannot be applied at all. An error while a connection is accepted, such as no file descriptor, closes no other one. A request that fails by an error of the host is answered with 500; its connection was closed without an answer. A host that cannot listen at its start still ends.

A defect must still be found: the harness of the tests fails if a router in it counted an internal error, but where a test allows it.

--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -12,6 +12,7 @@
 
 import random
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -53,16 +54,20 @@
         Contact,
         CrashEvidence,
         CustomerDemand,
+        Digest,
         LayerUpdate,
         LeavingNotice,
         Load,
+        Report,
         RequestLimit,
         RetryUsage,
         SegmentVerdict,
         ServiceDemand,
+        Summary,
     )
     from hemlockhall_router.membership.share import Shares
     from hemlockhall_router.process.metric import Metrics
+    from hemlockhall_router.process.supervisor import Supervisor
     from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.process.watch import Watch
 
@@ -122,6 +127,8 @@
         knows.
     metrics : Metrics
         Counts dropped messages.
+    supervisor : Supervisor
+        Reports errors and keeps the tasks running.
     """
 
     def __init__(
@@ -138,8 +145,10 @@
         on_leaving: Callable[[list[LeavingNotice]], None],
         on_crashes: Callable[[list[CrashEvidence], list[SegmentVerdict]], None],
         metrics: Metrics,
+        supervisor: Supervisor,
     ) -> None:
         self._own = own
+        self._supervisor = supervisor
         self._store = store
         self._timing = timing
         self._on_down = on_down
@@ -173,20 +182,25 @@
         self._watches[watch.table.value] = watch
 
     async def run(self) -> None:
-        """Exchange messages with the other hosts until cancelled."""
+        """Exchange messages with the other hosts until cancelled.
+
+        Raises ``OSError`` if it cannot listen at this host's address.
+        """
         host, _, port = self._own.address.rpartition(":")
+        run = self._supervisor.run
         async with anyio.create_task_group() as group:
             self._group = group
-            group.start_soon(self._register)
+            group.start_soon(run, "register", self._register)
             udp = await anyio.create_udp_socket(local_host=host, local_port=int(port))
             listener = await anyio.create_tcp_listener(
                 local_host=host, local_port=int(port)
             )
             async with udp, listener:
-                group.start_soon(self._run_rounds)
-                group.start_soon(self._send, udp)
-                group.start_soon(self._receive, udp)
-                await listener.serve(self._serve_fetch, group)
+                group.start_soon(run, "rounds", self._run_rounds)
+                group.start_soon(run, "send", partial(self._send, udp))
+                group.start_soon(run, "receive", partial(self._receive, udp))
+                serve = partial(listener.serve, self._serve_fetch, group)
+                await run("serve_rows", serve)
 
     def should_watch(self, watch: Watch) -> bool:
         """Return whether this host should call the store itself for a table.
@@ -356,8 +370,9 @@
         return [table_version_of(watch) for watch in self._watches.values()]
 
     def _enqueue(self, address: str, message: Message) -> None:
-        self._outbox.append((encode(message), address))
-        self._outbox_filled.set()
+        with self._supervisor.contain("encode_message", address=address):
+            self._outbox.append((encode(message), address))
+            self._outbox_filled.set()
 
     async def _run_rounds(self) -> None:
         while True:
@@ -390,20 +405,24 @@
             except MessageError as exc:
                 self._drop(str(exc))
                 continue
-            self._exchange.receive(message)
-            if message.down:
-                self._on_down(message.down)
-            if message.presumed_draining:
-                self._on_presumed_draining(message.presumed_draining)
-            if message.layer_updates:
-                self._on_layer_updates(message.layer_updates)
-            if message.limits:
-                self._on_limits(message.limits)
-            if message.leaving:
-                self._on_leaving(message.leaving)
-            if message.crashes or message.verdicts:
-                self._on_crashes(message.crashes, message.verdicts)
-            self._fetch_newer(message)
+            with self._supervisor.contain("message", sender=message.sender.name):
+                self._handle(message)
+
+    def _handle(self, message: Report | Digest | Summary) -> None:
+        self._exchange.receive(message)
+        if message.down:
+            self._on_down(message.down)
+        if message.presumed_draining:
+            self._on_presumed_draining(message.presumed_draining)
+        if message.layer_updates:
+            self._on_layer_updates(message.layer_updates)
+        if message.limits:
+            self._on_limits(message.limits)
+        if message.leaving:
+            self._on_leaving(message.leaving)
+        if message.crashes or message.verdicts:
+            self._on_crashes(message.crashes, message.verdicts)
+        self._fetch_newer(message)
 
     def _drop(self, cause: str) -> None:
         self._metrics.count("messages_dropped", "unreadable")
@@ -446,7 +465,8 @@
             finally:
                 await link.close()
             if isinstance(response, Delta) and response.table == table:
-                self._apply(watch, response, address)
+                with self._supervisor.contain("fetch_rows", table=table):
+                    self._apply(watch, response, address)
         except TransportError as exc:
             logger.info("rows not fetched", table=table, host=address, cause=str(exc))
         finally:
@@ -471,8 +491,11 @@
             watch.apply(rows, delta.version, address)
 
     async def _serve_fetch(self, stream: SocketStream) -> None:
+        with self._supervisor.contain("serve_rows"):
+            await self._answer_fetch(Link(stream))
+
+    async def _answer_fetch(self, link: Link) -> None:
         """Answer one request for the rows of a table."""
-        link = Link(stream)
         deadline = time.monotonic() + FETCH_TIMEOUT_S
         try:
             message = await link.receive(deadline)
@@ -484,18 +507,21 @@
                     f"not a request for rows of a shared table: {message!r:.100}"
                 )
                 return
-            whole, rows = watch.changes_since(message.after)
-            rows_sent = [TableRow(r.key, r.value, r.version, r.deleted) for r in rows]
-            await link.send(
-                Delta(message.table, watch.version, whole, rows_sent), deadline
-            )
-            # The peer closes the connection after it has received everything.
-            await link.wait_closed(deadline)
+            await self._send_rows(link, watch, message, deadline)
         except TransportError as exc:
             logger.info("rows not sent", cause=str(exc))
         finally:
             await link.close()
 
+    async def _send_rows(
+        self, link: Link, watch: Watch, fetch: Fetch, deadline: float
+    ) -> None:
+        whole, rows = watch.changes_since(fetch.after)
+        rows_sent = [TableRow(r.key, r.value, r.version, r.deleted) for r in rows]
+        await link.send(Delta(fetch.table, watch.version, whole, rows_sent), deadline)
+        # The peer closes the connection after it has received everything.
+        await link.wait_closed(deadline)
+
     async def _register(self) -> None:
         """Write this host's row to the hosts table; read it while no peer is live."""
         version: int | None = None
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -30,6 +30,7 @@
     from hemlockhall_router.process.admission import Admission
     from hemlockhall_router.process.dialect import TokenCounts
     from hemlockhall_router.process.intake import Intake
+    from hemlockhall_router.process.supervisor import Supervisor
     from hemlockhall_router.request.relay import RelayContext
     from hemlockhall_router.version.routing import Customer, Route, RoutingConfig
 
@@ -70,6 +71,8 @@
         Returns the time since it was last known to be the newest one.
     intake : Intake
         Decides which new connections are served.
+    supervisor : Supervisor
+        Reports errors in the code that serves a request.
     """
 
     def __init__(
@@ -79,7 +82,9 @@
         routing: Callable[[], RoutingConfig | None],
         routing_age_s: Callable[[], float],
         intake: Intake,
+        supervisor: Supervisor,
     ) -> None:
+        self._supervisor = supervisor
         self._context = context
         self._admission = admission
         self._routing = routing
@@ -117,17 +122,19 @@
             return
         routing = self._routing()
         reader = CallerReader(stream, routing.limits if routing else CallerLimits())
+        try:
+            with self._supervisor.contain("connection"):
+                await self._serve_requests(reader)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, reader: CallerReader) -> None:
         try:
             while await self._serve_request(reader):
                 continue
         except CallerDisconnectedError:
             return
-        except Exception:  # noqa: BLE001
-            # An error in one task would cancel the tasks of all connections.
-            logger.exception("internal error in a connection")
-        finally:
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(stream)
 
     async def _serve_request(self, reader: CallerReader) -> bool:
         """Serve one request; return whether the connection may carry another."""
@@ -177,7 +184,7 @@
 
             group.start_soon(watch)
             try:
-                await self._relay(head, body, deadline, arrived_at, response)
+                await self._relay_or_fail(head, body, deadline, arrived_at, response)
             except CallerDisconnectedError:
                 disconnected = True
             group.cancel_scope.cancel()
@@ -191,6 +198,25 @@
             await reader.lingering_close()
         return response.complete and not response.close_connection
 
+    async def _relay_or_fail(
+        self,
+        head: RequestHead,
+        body: bytes,
+        deadline: float,
+        arrived_at: float,
+        response: ResponseWriter,
+    ) -> None:
+        """Relay a request; answer it with status 500 after an error of this host."""
+        try:
+            await self._relay(head, body, deadline, arrived_at, response)
+        except CallerDisconnectedError:
+            raise
+        except Exception as exc:  # noqa: BLE001
+            request_id = self._request_id(head).decode("latin-1")
+            self._supervisor.report("request", exc, request=request_id)
+            if not response.started:
+                await response.local_reply(500, "internal error of this host")
+
     async def _relay(
         self,
         head: RequestHead,
--- a/packages/router/src/hemlockhall_router/process/metric.py
+++ b/packages/router/src/hemlockhall_router/process/metric.py
@@ -61,6 +61,10 @@
         labels = self._counters.setdefault(name, {})
         labels[label] = labels.get(label, 0) + 1
 
+    def counters(self, name: str) -> dict[str, int]:
+        """Return the counts of the counter ``name`` by label value."""
+        return dict(self._counters.get(name, {}))
+
     def add_gauge(self, name: str, label: str, read: Callable[[], float]) -> None:
         """Add a gauge, which is read when the metrics are rendered."""
         self._gauges.setdefault(name, {})[label] = read
--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -34,6 +34,7 @@
     from hemlockhall_router.process.lease import Lease
     from hemlockhall_router.process.metric import Metrics
     from hemlockhall_router.process.prober import Prober
+    from hemlockhall_router.process.supervisor import Supervisor
     from hemlockhall_router.process.timing import Timing
     from hemlockhall_router.version.endpoint import Endpoint, LayerRange
     from hemlockhall_router.version.layout import GroupState
@@ -101,6 +102,8 @@
         Returns the configuration in force, or None before the first one.
     timing : Timing
         How long to wait for more endpoints before the first plan.
+    supervisor : Supervisor
+        Reports errors in the plan of one service, without an effect on the others.
     """
 
     def __init__(
@@ -113,7 +116,9 @@
         metrics: Metrics,
         routing: Callable[[], RoutingConfig | None],
         timing: Timing,
+        supervisor: Supervisor,
     ) -> None:
+        self._supervisor = supervisor
         self._dialect = dialect
         self._directory = directory
         self._leadership = leadership
@@ -142,7 +147,9 @@
                 if routing is None:
                     continue
                 for service in routing.services.values():
-                    if service.model is not None:
+                    if service.model is None:
+                        continue
+                    with self._supervisor.contain("plan", service=service.name):
                         self._plan_service(service.name, service.model, group)
 
     def _plan_service(
@@ -191,7 +198,7 @@
             order = PendingOrder(layers, immediate=immediate)
             endpoint = by_id[endpoint_id]
             self._pending[endpoint.incarnation] = order
-            group.start_soon(self._run_order, endpoint, order, model)
+            group.start_soon(self._execute_order, endpoint, order, model)
 
     def _unroutable(
         self,
@@ -253,6 +260,14 @@
             return True
         return now < self._backoff_deadlines.get(endpoint.id, 0.0)
 
+    async def _execute_order(
+        self, endpoint: Endpoint, order: PendingOrder, model: Model
+    ) -> None:
+        with self._supervisor.contain("order", endpoint=endpoint.id):
+            await self._run_order(endpoint, order, model)
+            return
+        self._fail_order(endpoint, order, "internal error")
+
     async def _run_order(
         self, endpoint: Endpoint, order: PendingOrder, model: Model
     ) -> None:
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -116,6 +117,7 @@
             lambda notices: self.directory.apply_leaving(notices),
             lambda crashes, verdicts: self.quarantine.apply(crashes, verdicts),
             metrics,
+            self._supervisor,
         )
         self._routing_watch = self._create_watch(Table.ROUTING, self._routing_changed)
         self._endpoints_watch = self._create_watch(
@@ -207,6 +209,7 @@
             lambda: self.routing,
             lambda: self._routing_watch.age_s,
             self.intake,
+            self._supervisor,
         )
         self.leadership = Leadership(self.lease, self.membership)
         self._planner = Planner(
@@ -218,6 +221,7 @@
             metrics,
             lambda: self.routing,
             self._timing,
+            self._supervisor,
         )
         self._task_group: TaskGroup | None = None
 
@@ -239,7 +243,6 @@
             tasks = {
                 "routing": self._routing_watch.run,
                 "endpoints": self._endpoints_watch.run,
-                "membership": self.membership.run,
                 "verdicts": self._archive.run,
                 "intake": self.intake.run,
                 "planner": self._planner.run,
@@ -247,6 +250,8 @@
                 "maintenance": self._run_maintenance,
                 "settings": self._watch_settings,
             }
+            # Its own tasks are supervised; it fails if it cannot listen.
+            group.start_soon(self.membership.run)
             for name, task in tasks.items():
                 group.start_soon(self._supervisor.run, name, task)
 
@@ -270,10 +275,16 @@
             local_host=host, local_port=int(port), backlog=LISTEN_BACKLOG
         )
         task_status.started()
+        # An error while a connection is accepted must not close the others.
+        accept = partial(listener.serve, serve, self._task_group)
         async with listener:
-            await listener.serve(serve)
+            await self._supervisor.run("accept", accept)
 
     async def _serve_health(self, stream: SocketStream) -> None:
+        with self._supervisor.contain("health"):
+            await self._answer_health(stream)
+
+    async def _answer_health(self, stream: SocketStream) -> None:
         reader = CallerReader(stream, CallerLimits())
         try:
             while True:
@@ -315,7 +326,8 @@
                 )
                 continue
             self.routing = routing
-            self.admission.configure(routing, self._settings.admission)
+            with self._supervisor.contain("configure", version=routing.version):
+                self.admission.configure(routing, self._settings.admission)
             watch = self._routing_watch
             logger.info(
                 "configuration in force",
@@ -326,7 +338,10 @@
             )
 
     def _endpoints_changed(self, rows: list[Row]) -> None:
-        self.directory.apply_rows(rows)
+        # The rows beside one that cannot be applied are.
+        for row in rows:
+            with self._supervisor.contain("apply_row", row=row.key):
+                self.directory.apply_rows([row])
 
     def _create_watch(
         self, table: Table, changed: Callable[[list[Row]], None]
@@ -398,15 +413,22 @@
     async def _run_maintenance(self) -> None:
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_S)
-            self.admission.update()
-            self.limits.issue()
-            self.statements.expire()
-            self.directory.process_deadlines()
-            self._crashes.update()
-            self.quarantine.update()
-            self.directory.set_remote_loads(self.membership.peer_loads())
+            for step in (
+                self.admission.update,
+                self.limits.issue,
+                self.statements.expire,
+                self.directory.process_deadlines,
+                self._crashes.update,
+                self.quarantine.update,
+                self._update_remote_loads,
+            ):
+                with self._supervisor.contain("maintenance", step=step.__qualname__):
+                    step()
             await self._pool.close_expired()
 
+    def _update_remote_loads(self) -> None:
+        self.directory.set_remote_loads(self.membership.peer_loads())
+
     async def _watch_settings(self) -> None:
         while True:
             await anyio.sleep(SETTINGS_POLL_INTERVAL_S)
@@ -450,16 +472,18 @@
         started_at = time.monotonic()
         exit_at = started_at + self._settings.leave.grace_s - EXIT_MARGIN_S
         self.frontend.leave(started_at + DEREGISTRATION_S, exit_at)
-        await self.leadership.resign()
+        with self._supervisor.contain("leave"):
+            await self.leadership.resign()
         await anyio.sleep(max(0.0, started_at + DEREGISTRATION_S - time.monotonic()))
         while self.frontend.open_requests and time.monotonic() < exit_at:
             self.frontend.close_idle()
             await anyio.sleep(0.05)
         self.frontend.close_idle()
         # The others learn what this process spent last.
-        self.membership.report()
-        with anyio.move_on_after(LEASE_RELEASE_TIMEOUT_S):
-            await self.lease.release()
+        with self._supervisor.contain("leave"):
+            self.membership.report()
+            with anyio.move_on_after(LEASE_RELEASE_TIMEOUT_S):
+                await self.lease.release()
         logger.info("router stops", open_requests=self.frontend.open_requests)
         assert self._task_group is not None
         self._task_group.cancel_scope.cancel()
--- a/packages/standins/src/hemlockhall_standins/router/harness.py
+++ b/packages/standins/src/hemlockhall_standins/router/harness.py
@@ -97,6 +97,10 @@
     ports: list[int] = field(default_factory=list)
     listens: list[str] = field(default_factory=list)
     scopes: list[anyio.CancelScope] = field(default_factory=list)
+    # Also those that were killed.
+    metrics: list[Metrics] = field(default_factory=list)
+    # Whether routers may have errors of their own that they contain.
+    internal_errors_allowed: bool = False
     # Whether two routers, by their indexes, do not hear each other.
     parted: Callable[[int, int], bool] = lambda sender, receiver: False
 
@@ -152,7 +156,8 @@
         await self.wait_until(lambda: router.ready)
 
     def _create_router(self, index: int, settings: RouterSettings) -> Router:
-        router = Router(Path("/nonexistent"), settings, Metrics())
+        self.metrics.append(Metrics())
+        router = Router(Path("/nonexistent"), settings, self.metrics[-1])
         # Its default clock was taken when its module was imported, before a test
         # replaced it by a virtual one.
         router.admission._clock = time.monotonic
@@ -262,6 +267,9 @@
             yield harness
         finally:
             group.cancel_scope.cancel()
+    errors = [metrics.counters("internal_errors") for metrics in harness.metrics]
+    if any(errors) and not harness.internal_errors_allowed:
+        raise AssertionError(f"errors of the routers themselves: {errors}")
 
 
 __all__ = [
