--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -46,6 +47,20 @@
 RETRY_AFTER_STARTING_S = 1.0
 
 
+@dataclass(slots=True, eq=False)
+class OpenRequest:
+    """A request whose response is not complete.
+
+    ``arrived_at`` is the monotonic time at which its head was read. ``routed`` is None
+    until it is relayed, and ``expected_s`` the time that it was then expected to take.
+    """
+
+    arrived_at: float
+    request_id: str
+    routed: RoutedRequest | None = None
+    expected_s: float = 0.0
+
+
 class _RefusedError(Exception):
     """The request is not relayed; this host answers it with ``status``."""
 
@@ -92,7 +107,12 @@
         self._intake = intake
         self._idle: set[anyio.CancelScope] = set()
         self._accept_until = self._exit_at = float("inf")
-        self.open_requests = 0
+        self._open: set[OpenRequest] = set()
+
+    @property
+    def open_requests(self) -> int:
+        """The number of requests whose responses are not complete."""
+        return len(self._open)
 
     @property
     def leaving(self) -> bool:
@@ -114,6 +134,22 @@
         for scope in list(self._idle):
             scope.cancel()
 
+    def log_open(self, left_at: float) -> None:
+        """Log the requests that the end of the process cuts off.
+
+        ``left_at`` is the monotonic time at which the shutdown began.
+        """
+        now = time.monotonic()
+        for entry in self._open:
+            logger.warning(
+                "request cut off",
+                request=entry.request_id,
+                arrived_s=round(entry.arrived_at - left_at, 2),
+                took_s=round(now - entry.arrived_at, 2),
+                expected_s=round(entry.expected_s, 2),
+                sends=entry.routed.sends if entry.routed is not None else 0,
+            )
+
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection until either side closes it."""
         if not self._intake.accepts():
@@ -155,15 +191,18 @@
             return False
         if head is None:
             return False
-        self.open_requests += 1
+        request_id = self._request_id(head).decode("latin-1")
+        entry = OpenRequest(time.monotonic(), request_id)
+        self._open.add(entry)
         try:
-            return await self._handle_request(reader, head)
+            return await self._handle_request(reader, head, entry)
         finally:
-            self.open_requests -= 1
+            self._open.discard(entry)
 
-    async def _handle_request(self, reader: CallerReader, head: RequestHead) -> bool:
-        arrived_at = time.monotonic()
-        deadline = arrived_at + self._requested_timeout_s(head)
+    async def _handle_request(
+        self, reader: CallerReader, head: RequestHead, entry: OpenRequest
+    ) -> bool:
+        deadline = entry.arrived_at + self._requested_timeout_s(head)
         response = ResponseWriter(
             reader, head, lambda: self.leaving or reader.close_after_response
         )
@@ -184,7 +223,7 @@
 
             group.start_soon(watch)
             try:
-                await self._relay_or_fail(head, body, deadline, arrived_at, response)
+                await self._relay_or_fail(head, body, deadline, entry, response)
             except CallerDisconnectedError:
                 disconnected = True
             group.cancel_scope.cancel()
@@ -203,17 +242,16 @@
         head: RequestHead,
         body: bytes,
         deadline: float,
-        arrived_at: float,
+        entry: OpenRequest,
         response: ResponseWriter,
     ) -> None:
         """Relay a request; answer it with status 500 after an error of this host."""
         try:
-            await self._relay(head, body, deadline, arrived_at, response)
+            await self._relay(head, body, deadline, entry, response)
         except CallerDisconnectedError:
             raise
         except Exception as exc:  # noqa: BLE001
-            request_id = self._request_id(head).decode("latin-1")
-            self._supervisor.report("request", exc, request=request_id)
+            self._supervisor.report("request", exc, request=entry.request_id)
             if not response.started:
                 await response.local_reply(500, "internal error of this host")
 
@@ -222,16 +260,16 @@
         head: RequestHead,
         body: bytes,
         deadline: float,
-        arrived_at: float,
+        entry: OpenRequest,
         response: ResponseWriter,
     ) -> None:
         try:
-            request = self._route_request(head, body, deadline, arrived_at)
+            request = self._route_request(head, body, deadline, entry)
         except _RefusedError as exc:
             self._context.metrics.count_refusal(exc.refusal)
             logger.info(
                 "request refused",
-                request=self._request_id(head).decode("latin-1"),
+                request=entry.request_id,
                 reason=exc.refusal.value,
                 version=self._config_version(),
                 age_ms=int(self._routing_age_s() * 1000),
@@ -285,7 +323,7 @@
             await PlainRelay(request, self._context, response).run()
 
     def _route_request(
-        self, head: RequestHead, body: bytes, deadline: float, arrived_at: float
+        self, head: RequestHead, body: bytes, deadline: float, entry: OpenRequest
     ) -> RoutedRequest:
         routing = self._routing()
         if routing is None:
@@ -300,23 +338,23 @@
         customer = self._authenticate(routing, route, head)
         tokens = self._context.dialect.decode_token_counts(head)
         now = time.monotonic()
-        if now > self._accept_until and self._exit_at - now < _expected_duration_s(
-            route, tokens
-        ):
+        entry.expected_s = _expected_duration_s(route, tokens)
+        if now > self._accept_until and self._exit_at - now < entry.expected_s:
             raise _RefusedError(RefusalReason.LEAVING, 503, "this host is about to end")
         name = _choose_service(route)
         service = routing.services.get(name) or Service(name, "/", 0)
-        return RoutedRequest(
+        entry.routed = RoutedRequest(
             head=head,
             body=body,
             route=route,
             service=service,
             customer=customer,
             id=self._request_id(head),
-            deadline=min(deadline, arrived_at + route.timeout_s),
+            deadline=min(deadline, entry.arrived_at + route.timeout_s),
             token_counts=tokens,
             segments=self._context.dialect.decode_prompt_segments(head),
         )
+        return entry.routed
 
     def _authenticate(
         self, routing: RoutingConfig, route: Route, head: RequestHead
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -479,6 +479,7 @@
             self.frontend.close_idle()
             await anyio.sleep(0.05)
         self.frontend.close_idle()
+        self.frontend.log_open(started_at)
         # The others learn what this process spent last.
         with self._supervisor.contain("leave"):
             self.membership.report()
