Answer requests that have no response at the exit of a host

Callers got no answer to requests that were open when a host ended: bookings accepted early in the shutdown that run longer, requests that waited for an endpoint, and bodies that were not complete. And a host with no open request went on accepting while it made its last calls to the store, up to 0.3 s, and then cut those requests off, on time and within any estimate.

Before its last calls a host now refuses all further requests, stops work on those without a response and answers them, within 0.2 s of the margin that it keeps: 503 if the request was never sent to an endpoint, which is true, else 504. A stream that has begun cannot be answered.

--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
@@ -42,6 +42,8 @@
 PLAIN_RESPONSE_S = 0.5
 # Time between two tokens on a typical path under moderate load.
 TOKEN_INTERVAL_S = 0.015
+# Interval of looking whether the last responses of a host that shuts down are sent.
+FINISH_POLL_S = 0.01
 # Retry-After while this host shuts down: the retry reaches another host.
 RETRY_AFTER_LEAVING_S = 0.1
 # Retry-After before the first configuration has been received.
@@ -54,11 +56,13 @@
 
     ``arrived_at`` is the monotonic time at which its head was read. ``routed`` is None
     until it is relayed, and ``expected_s`` the time that it was then expected to take.
+    Cancelling ``scope`` ends the work on it before a response is sent.
     """
 
     arrived_at: float
     request_id: str
     response: ResponseWriter
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     routed: RoutedRequest | None = None
     expected_s: float = 0.0
 
@@ -67,6 +71,11 @@
         """How often it was sent to an endpoint."""
         return self.routed.sends if self.routed is not None else 0
 
+    @property
+    def aborted(self) -> bool:
+        """Whether it gets a response of this host, which is not complete."""
+        return self.scope.cancel_called and not self.response.complete
+
 
 class _RefusedError(Exception):
     """The request is not relayed; this host answers it with ``status``."""
@@ -134,6 +143,22 @@
         """
         self._shutdown = Shutdown(accept_until, exit_at)
 
+    async def finish(self, deadline: float) -> None:
+        """Refuse all further requests, and answer those that have no response yet.
+
+        A stream that has begun cannot be answered; it ends with the process. Returns
+        when the responses are sent, at the monotonic time ``deadline`` at the latest.
+        """
+        self._shutdown.closing = True
+        self.close_idle()
+        for entry in self._open:
+            if not entry.response.started:
+                entry.scope.cancel()
+        while time.monotonic() < deadline:
+            if not any(entry.aborted for entry in self._open):
+                return
+            await anyio.sleep(FINISH_POLL_S)
+
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
         for scope in list(self._idle):
@@ -203,10 +228,32 @@
         entry = OpenRequest(time.monotonic(), request_id, response)
         self._open.add(entry)
         try:
-            return await self._handle_request(reader, head, entry)
+            with entry.scope:
+                return await self._handle_request(reader, head, entry)
+            await self._answer_aborted(entry)
+            return False
         finally:
             self._open.discard(entry)
 
+    async def _answer_aborted(self, entry: OpenRequest) -> None:
+        """Answer a request on which work ended for the shutdown of this host."""
+        if entry.sends:
+            refusal, status = RefusalReason.UNCERTAIN, 504
+            text = "this host ends, and the endpoint did not answer"
+            retry_after_s = None
+        else:
+            refusal, status = RefusalReason.LEAVING, 503
+            text = "this host ends"
+            retry_after_s = RETRY_AFTER_LEAVING_S
+        self._context.metrics.count_refusal(refusal)
+        logger.info(
+            "request given up in the shutdown",
+            request=entry.request_id,
+            status=status,
+            sends=entry.sends,
+        )
+        await entry.response.local_reply(status, text, retry_after_s)
+
     async def _handle_request(
         self, reader: CallerReader, head: RequestHead, entry: OpenRequest
     ) -> bool:
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -66,6 +66,8 @@
 # The process exits this long before the platform kills it; requests that are still
 # open then are aborted.
 EXIT_MARGIN_S = 0.8
+# For the responses to requests that are then still without one; a part of the margin.
+FINISH_TIMEOUT_S = 0.2
 # Above the usual duration of a call to the store; bounds the time to exit.
 LEASE_RELEASE_TIMEOUT_S = 0.3
 LISTEN_BACKLOG = 1024
@@ -466,7 +468,8 @@
         """Shut down: serve while requests arrive or are open, then exit.
 
         Waits until the load balancer has removed this host, then for open requests
-        until shortly before the end of ``leave.grace_s``.
+        until shortly before the end of ``leave.grace_s``. Those that have no response
+        then are answered.
         """
         logger.info("leaving", open_requests=self.frontend.open_requests)
         started_at = time.monotonic()
@@ -478,7 +481,7 @@
         while self.frontend.open_requests and time.monotonic() < exit_at:
             self.frontend.close_idle()
             await anyio.sleep(0.05)
-        self.frontend.close_idle()
+        await self.frontend.finish(time.monotonic() + FINISH_TIMEOUT_S)
         self.frontend.log_open(started_at)
         # The others learn what this process spent last.
         with self._supervisor.contain("leave"):
--- a/packages/router/src/hemlockhall_router/process/shutdown.py
+++ b/packages/router/src/hemlockhall_router/process/shutdown.py
@@ -13,11 +13,12 @@
     requests are accepted that are expected to be done by ``exit_at``. After that one is
     accepted only if its own time limit ends before: no estimate bounds the time that a
     request takes, and one that is refused can run at another host, while one that is
-    cut off may have run.
+    cut off may have run. Once the host is ``closing``, none is accepted.
     """
 
     accept_until: float = float("inf")
     exit_at: float = float("inf")
+    closing: bool = False
 
     @property
     def begun(self) -> bool:
@@ -29,6 +30,8 @@
 
         It is expected to take ``expected_s`` seconds, and is given up at ``deadline``.
         """
+        if self.closing:
+            return False
         if now <= self.accept_until:
             return now + expected_s <= self.exit_at
         return deadline <= self.exit_at
--- a/tests/router/test_shutdown.py
+++ b/tests/router/test_shutdown.py
@@ -179,6 +179,84 @@
         assert callers.ends_since(left_at)[503] == 0
 
 
+class TestLastRequests:
+    async def test_one_without_a_response_is_answered_at_the_exit(self) -> None:
+        """Guards against a connection that is closed without an answer to a request
+        that was accepted before the shutdown, or early in it, and is still running."""
+        desk = Desk(2 * GRACE_S)
+        async with router_harness(ROUTES) as harness:
+            router = await harness.add_router(grace_s=GRACE_S)
+            harness.ports.reverse()
+            await start(harness, desk)
+            callers = Callers(harness)
+            async with anyio.create_task_group() as group:
+                group.start_soon(callers.request, "/book/")
+                await harness.wait_until(lambda: desk.ran)
+                await router.leave()
+        assert callers.ends == {"r0": 504}
+
+    async def test_one_that_waits_for_an_endpoint_is_refused_at_the_exit(self) -> None:
+        """Guards against a request that has not run and gets no answer, although its
+        caller could send it again."""
+        async with router_harness(ROUTES) as harness:
+            router = await harness.add_router(grace_s=GRACE_S)
+            harness.ports.reverse()
+            await start(harness, Desk(0.1))
+            callers = Callers(harness)
+
+            async def wait(*_: Any, **__: Any) -> None:
+                await anyio.sleep_forever()
+
+            router.frontend._run_relay = wait  # type: ignore[method-assign]
+            async with anyio.create_task_group() as group:
+                group.start_soon(callers.request, "/book/")
+                await harness.wait_until(lambda: router.frontend.open_requests)
+                await router.leave()
+        assert callers.ends == {"r0": 503}
+        assert callers.retry_after["r0"] > 0
+
+    async def test_one_whose_body_is_not_complete_is_refused_at_the_exit(self) -> None:
+        """Guards against a caller that learns nothing while it still sends."""
+        async with router_harness(ROUTES) as harness:
+            router = await harness.add_router(grace_s=GRACE_S)
+            harness.ports.reverse()
+            await start(harness, Desk(0.1))
+            conn = await harness.connect()
+            text = caller_text("/book/", "POST", b"x" * 50)
+            deadline = time.monotonic() + 2 * TIMEOUT_S
+            await conn.send(text[:-20], deadline)
+            await harness.wait_until(lambda: router.frontend.open_requests)
+            await router.leave()
+            assert (await conn.read_response(deadline)).head.status == 503
+            await conn.close()
+
+    async def test_none_is_accepted_while_the_lease_is_released(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests that are accepted in the last calls to the store,
+        once no other is open, and cut off when these end."""
+        desk = Desk(0.2)
+        async with router_harness(ROUTES) as harness:
+            router = await harness.add_router(grace_s=GRACE_S)
+            harness.ports.reverse()
+            await start(harness, desk)
+            callers = Callers(harness)
+
+            async def release() -> None:
+                await anyio.sleep(0.2)
+
+            monkeypatch.setattr(router.lease, "release", release)
+            async with anyio.create_task_group() as group:
+                group.start_soon(router.leave)
+                await anyio.sleep(DEREGISTRATION_S + 0.1)
+                for _ in range(9):
+                    group.start_soon(callers.request, "/quick/")
+                    await anyio.sleep(0.01)
+        assert set(callers.ends.values()) <= {503, NOT_REACHED}
+        assert 503 in callers.ends.values()
+        assert not desk.ran
+
+
 TIMES = st.floats(0, 30)
 
 
@@ -192,6 +270,8 @@
         accepted = shutdown.accepts(now, expected_s, now + limit_s)
         if now > 3.0:
             assert accepted == (now + limit_s <= 7.2)
+        shutdown.closing = True
+        assert not shutdown.accepts(now, expected_s, now + limit_s)
 
     def test_without_one_all_is_accepted(self) -> None:
         shutdown = Shutdown()
