Tell callers to come back after the restart if most hosts leave at once

Callers that are refused in a shutdown were told to come back after 0.1 s, as the retry reaches another host. If fewer than half of the hosts of a data centre are ready, load balancers use all of them, so that two of three retries reached a host that refuses them again, and a caller has one or few.

Retry-After is then the time to the exit and one second for the start. With none left the load balancer takes another data centre, and 0.1 s stays.

Test: two of three hosts leave, 0.1 s before.

--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -299,6 +299,18 @@
                 return max(1, data_centre.hosts)
         return 1
 
+    def enough_hosts_stay(self) -> bool:
+        """Return whether retries in this data centre reach hosts that are not leaving.
+
+        Load balancers use all hosts of a data centre if fewer than half are ready, and
+        other data centres if none is.
+        """
+        for data_centre in self._exchange.data_centres():
+            if data_centre.name == self._own.data_centre:
+                active = data_centre.active_hosts
+                return active == 0 or 2 * active >= data_centre.hosts
+        return True
+
     def peer_loads(self) -> dict[int, Load]:
         """Return the sum of the other hosts' loads by the endpoint's key."""
         return self._exchange.loads()
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -44,8 +44,6 @@
 TOKEN_INTERVAL_S = 0.015
 # Interval of looking whether the last responses of a host that shuts down are sent.
 FINISH_POLL_S = 0.01
-# Retry-After while this host shuts down: the retry reaches another host.
-RETRY_AFTER_LEAVING_S = 0.1
 # Retry-After before the first configuration has been received.
 RETRY_AFTER_STARTING_S = 1.0
 
@@ -104,6 +102,8 @@
         Decides which new connections are served.
     supervisor : Supervisor
         Reports errors in the code that serves a request.
+    others_stay : callable
+        Returns whether callers that come back reach hosts that do not shut down.
     """
 
     def __init__(
@@ -114,7 +114,9 @@
         routing_age_s: Callable[[], float],
         intake: Intake,
         supervisor: Supervisor,
+        others_stay: Callable[[], bool],
     ) -> None:
+        self._others_stay = others_stay
         self._supervisor = supervisor
         self._context = context
         self._admission = admission
@@ -244,7 +246,7 @@
         else:
             refusal, status = RefusalReason.LEAVING, 503
             text = "this host ends"
-            retry_after_s = RETRY_AFTER_LEAVING_S
+            retry_after_s = self._retry_after_leaving_s()
         self._context.metrics.count_refusal(refusal)
         logger.info(
             "request given up in the shutdown",
@@ -254,6 +256,11 @@
         )
         await entry.response.local_reply(status, text, retry_after_s)
 
+    def _retry_after_leaving_s(self) -> float:
+        return self._shutdown.retry_after_s(
+            time.monotonic(), others_stay=self._others_stay()
+        )
+
     async def _handle_request(
         self, reader: CallerReader, head: RequestHead, entry: OpenRequest
     ) -> bool:
@@ -329,7 +336,9 @@
             retry_after_s = None
             if exc.status == 503:
                 retry_after_s = (
-                    RETRY_AFTER_LEAVING_S if self.leaving else RETRY_AFTER_STARTING_S
+                    self._retry_after_leaving_s()
+                    if self.leaving
+                    else RETRY_AFTER_STARTING_S
                 )
             await response.local_reply(exc.status, exc.text, retry_after_s)
             return
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -212,6 +212,7 @@
             lambda: self._routing_watch.age_s,
             self.intake,
             self._supervisor,
+            self.membership.enough_hosts_stay,
         )
         self.leadership = Leadership(self.lease, self.membership)
         self._planner = Planner(
--- a/packages/router/src/hemlockhall_router/process/shutdown.py
+++ b/packages/router/src/hemlockhall_router/process/shutdown.py
@@ -4,6 +4,11 @@
 
 from dataclasses import dataclass
 
+# Retry-After while other hosts of the data centre stay: the retry reaches one of them.
+RETRY_AFTER_OTHERS_S = 0.1
+# Time for this host to start again after its exit.
+START_S = 1.0
+
 
 @dataclass(slots=True)
 class Shutdown:
@@ -36,6 +41,16 @@
             return now + expected_s <= self.exit_at
         return deadline <= self.exit_at
 
+    def retry_after_s(self, now: float, *, others_stay: bool) -> float:
+        """Return the seconds after which a caller that is refused should come back.
+
+        Unless ``others_stay``, the load balancer sends callers to the hosts that shut
+        down as well, and a retry would be refused again until they are back.
+        """
+        if others_stay:
+            return RETRY_AFTER_OTHERS_S
+        return max(0.0, self.exit_at - now) + START_S
+
 
 __all__ = [
     "Shutdown",
--- a/tests/router/test_shutdown.py
+++ b/tests/router/test_shutdown.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from hemlockhall_router.connection.error import TransportError
-from hemlockhall_router.process.shutdown import Shutdown
+from hemlockhall_router.process.shutdown import RETRY_AFTER_OTHERS_S, START_S, Shutdown
 from hemlockhall_standins.router.dialect import RouteRow
 from hemlockhall_standins.router.endpoint import ReceivedRequest
 from hemlockhall_standins.router.harness import (
@@ -257,6 +257,34 @@
         assert not desk.ran
 
 
+class TestRetryAfter:
+    async def test_it_waits_for_the_hosts_if_most_leave(self) -> None:
+        """Guards against callers that come back to hosts that refuse them again."""
+        async with router_harness(ROUTES) as harness:
+            for _ in range(2):
+                await harness.add_router(grace_s=GRACE_S)
+            harness.ports.reverse()
+            await start(harness, Desk(GRACE_S))
+            callers = Callers(harness)
+            async with anyio.create_task_group() as group:
+                # It keeps the host running.
+                group.start_soon(callers.request, "/book/")
+                for router in harness.routers[1:]:
+                    group.start_soon(router.leave)
+                await anyio.sleep(DEREGISTRATION_S + 0.5)
+                late = await callers.request("/book/")
+        assert callers.ends[late] == 503
+        assert callers.retry_after[late] > START_S
+
+    async def test_it_is_short_if_most_stay(self) -> None:
+        async with router_harness(ROUTES) as harness:
+            for _ in range(2):
+                await harness.add_router(grace_s=GRACE_S)
+            harness.routers[0].frontend.leave(0.0, time.monotonic() + GRACE_S)
+            await anyio.sleep(2.0)
+            assert harness.routers[0].membership.enough_hosts_stay()
+
+
 TIMES = st.floats(0, 30)
 
 
@@ -277,3 +305,10 @@
         shutdown = Shutdown()
         assert not shutdown.begun
         assert shutdown.accepts(1e6, 1e6, float("inf"))
+
+    def test_a_retry_waits_until_the_host_is_back_if_the_others_leave(self) -> None:
+        shutdown = Shutdown(accept_until=3.0, exit_at=7.2)
+        assert shutdown.retry_after_s(4.0, others_stay=True) == RETRY_AFTER_OTHERS_S
+        late_s = shutdown.retry_after_s(4.0, others_stay=False)
+        assert late_s == pytest.approx(3.2 + START_S)
+        assert shutdown.retry_after_s(9.0, others_stay=False) == START_S
