Reject nested and oversized input at entry and side processes, too

Related paths of the decoders of the router, found by reading each decoder of the repository: a batch of another process, a submitted document and the body of a caller with deeply nested values raised RecursionError, a response of the table service that cannot be read an error of the library; only the error that each decoder is known for was expected. In the router a Keep-Alive time or the id of an event with more than 4,300 digits failed the request that it came with.

The block that turns any error of a decoder into DecodeError moves to the core package and is used by all of them; numbers of endpoints are read like those of callers.

--- a/packages/core/src/hemlockhall_core/connection/message.py
+++ b/packages/core/src/hemlockhall_core/connection/message.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.connection.error import BatchDecodeError
 
 # Limit on received batches; the sender does not check it.
@@ -306,8 +307,9 @@
         msg = f"batch of {len(data)} bytes is over the limit of {MAX_BATCH_BYTES}"
         raise BatchDecodeError(msg)
     try:
-        return _DECODER.decode(data)
-    except msgspec.MsgspecError as exc:
+        with decoding("batch"):
+            return _DECODER.decode(data)
+    except DecodeError as exc:
         msg = f"not a batch of this protocol: {exc}"
         raise BatchDecodeError(msg) from exc
 
--- a/packages/core/src/hemlockhall_core/process/table.py
+++ b/packages/core/src/hemlockhall_core/process/table.py
@@ -5,11 +5,12 @@
 import random
 import time
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import httpx
 import msgspec
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.process.error import (
     StoreConflictError,
     StoreOutcomeUnknownError,
@@ -19,6 +20,8 @@
 if TYPE_CHECKING:
     from hemlockhall_core.process.metric import Metrics
 
+T = TypeVar("T")
+
 STORE_TIMEOUT_S = 1.0
 MIN_BACKOFF_S = 0.5
 # Calls, also reads of the document in force, fail during a backoff. With a timeout and
@@ -157,6 +160,15 @@
             self._metrics.count_store_call(outcome)
 
 
+def _decode(content: bytes, expected: type[T]) -> T:
+    """Return a decoded response; one that cannot be decoded counts as lost."""
+    try:
+        with decoding("response of the store"):
+            return msgspec.json.decode(content, type=expected)
+    except DecodeError as exc:
+        raise StoreOutcomeUnknownError(str(exc)) from exc
+
+
 class Table(HttpStore):
     """Client of the transactional table service."""
 
@@ -165,13 +177,13 @@
         response = await self._request("GET", f"/rows/{key}")
         if response.status_code == 404:
             return None
-        return msgspec.json.decode(response.content, type=Row)
+        return _decode(response.content, Row)
 
     async def scan(self, prefix: str, limit: int = 100) -> list[Row]:
         """Return the last ``limit`` rows with a key prefix, highest key first."""
         params = {"prefix": prefix, "limit": str(limit)}
         response = await self._request("GET", "/rows", params=params)
-        return msgspec.json.decode(response.content, type=list[Row])
+        return _decode(response.content, list[Row])
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction; return the new version of its rows.
@@ -188,9 +200,9 @@
         body = msgspec.json.encode(transaction)
         response = await self._request("POST", "/transactions", content=body)
         if response.status_code == 409:
-            conflict = msgspec.json.decode(response.content, type=Conflict)
+            conflict = _decode(response.content, Conflict)
             raise StoreConflictError(conflict.conflicts)
-        return msgspec.json.decode(response.content, type=Committed).version
+        return _decode(response.content, Committed).version
 
 
 class Objects(HttpStore):
@@ -221,7 +233,7 @@
     async def read(self) -> list[Host]:
         """Return the current list."""
         response = await self._request("GET", "/hosts")
-        return msgspec.json.decode(response.content, type=list[Host])
+        return _decode(response.content, list[Host])
 
 
 __all__ = [
--- a/packages/core/src/hemlockhall_core/version/text.py
+++ b/packages/core/src/hemlockhall_core/version/text.py
@@ -6,6 +6,7 @@
 import re
 import tomllib
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.version.error import DocumentError, Fault
 
 _HEADER = re.compile(r"^\s*\[{1,2}\s*([A-Za-z0-9_\"'.\s-]+?)\s*\]{1,2}\s*(#.*)?$")
@@ -20,8 +21,9 @@
 def parse(text: str) -> dict[str, object]:
     """Parse a TOML text; raise :class:`DocumentError` if it is not valid TOML."""
     try:
-        return tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+        with decoding("document"):
+            return tomllib.loads(text)
+    except DecodeError as exc:
         found = re.search(r"line (\d+)", str(exc))
         line = int(found.group(1)) if found else text.count("\n") + 1
         raise DocumentError([Fault("document", line, f"not TOML: {exc}")]) from exc
--- a/packages/daemon/src/hemlockhalld/process/admin.py
+++ b/packages/daemon/src/hemlockhalld/process/admin.py
@@ -8,6 +8,7 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.connection.message import DocumentText
 
 if TYPE_CHECKING:
@@ -113,8 +114,9 @@
             body += event.get("body", b"")
             more = event.get("more_body", False)
         try:
-            document = msgspec.json.decode(body, type=DocumentText)
-        except msgspec.MsgspecError as exc:
+            with decoding("document"):
+                document = msgspec.json.decode(body, type=DocumentText)
+        except DecodeError as exc:
             await send_response(send, 400, f"not a document: {exc}\n".encode())
             return
         self._process.offer_document(document)
--- a/packages/daemon/src/hemlockhalld/process/engine.py
+++ b/packages/daemon/src/hemlockhalld/process/engine.py
@@ -5,6 +5,8 @@
 import httpx
 import msgspec
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
+
 
 class EngineError(Exception):
     """The engine gave no valid response; its KV cache must be assumed lost.
@@ -95,8 +97,9 @@
         """Run one batch; raise :class:`EngineError` without a valid response."""
         data = await self._post("/v1/steps", msgspec.json.encode(StepBatch(items)))
         try:
-            return msgspec.json.decode(data, type=StepResults).results
-        except msgspec.MsgspecError as exc:
+            with decoding("response of the engine"):
+                return msgspec.json.decode(data, type=StepResults).results
+        except DecodeError as exc:
             raise EngineError(f"invalid response from the engine: {exc}") from exc
 
     async def cancel(self, requests: list[str]) -> None:
--- a/packages/daemon/src/hemlockhalld/request/body.py
+++ b/packages/daemon/src/hemlockhalld/request/body.py
@@ -7,6 +7,7 @@
 import msgspec
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.request.reason import RefusalReason
 from hemlockhalld.request.problem import Problem
 
@@ -77,8 +78,9 @@
 def parse_body(body_type: type[ModelBody], data: bytes) -> ModelBody:
     """Return the validated body; raise :class:`Problem` with all errors."""
     try:
-        raw: Any = msgspec.json.decode(data)
-    except msgspec.DecodeError as exc:
+        with decoding("body"):
+            raw: Any = msgspec.json.decode(data)
+    except DecodeError as exc:
         detail = f"the body is not JSON: {exc}"
         raise Problem(RefusalReason.MALFORMED_BODY, detail) from exc
     try:
--- a/packages/router/src/hemlockhall_router/connection/decoding.py
+++ b/packages/router/src/hemlockhall_router/connection/decoding.py
@@ -1,16 +1,14 @@
-"""Decoding of what other processes wrote: rows, reports, messages and headers."""
+"""Numbers and addresses in what other processes wrote, within usable ranges."""
 
 from __future__ import annotations
 
 import ipaddress
-from contextlib import contextmanager
 from functools import lru_cache
-from typing import TYPE_CHECKING, Annotated
+from typing import Annotated
 
 import msgspec
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 
 # Counts, versions and times in milliseconds. Sums of many of them still fit into the
 # 64-bit integers of MessagePack, and floats represent each exactly.
@@ -20,8 +18,6 @@
 # Ports are below this number.
 PORT_LIMIT = 65_536
 MAX_PORT_DIGITS = 5
-# Characters of an error's text in ``DecodeError``.
-MAX_CAUSE_CHARS = 200
 # Entries in the cache of parsed addresses.
 ADDRESS_CACHE_SIZE = 1024
 
@@ -30,29 +26,6 @@
 LayerNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_LAYERS)]
 
 
-class DecodeError(Exception):
-    """A row, report, message or header could not be decoded.
-
-    The text names it, and the field or the status of the response where known.
-    """
-
-
-@contextmanager
-def decoding(what: str) -> Iterator[None]:
-    """Raise ``DecodeError`` for any error in the block; ``what`` is being decoded.
-
-    Input can make a decoder raise other errors than its own: ``RecursionError`` if it
-    is deeply nested, ``ValueError`` or ``OverflowError`` for numbers.
-    """
-    try:
-        yield
-    except DecodeError:
-        raise
-    except Exception as exc:
-        cause = f"{type(exc).__name__}: {exc}"[:MAX_CAUSE_CHARS]
-        raise DecodeError(f"malformed {what}: {cause}") from exc
-
-
 def decode_number(value: bytes) -> int | None:
     """Return a number of decimal digits, or None; at most ``MAX_INTEGER``."""
     digits = value.strip()
--- a/packages/router/src/hemlockhall_router/connection/pool.py
+++ b/packages/router/src/hemlockhall_router/connection/pool.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hemlockhall_router.connection.client import ClientConnection
+from hemlockhall_router.connection.decoding import decode_number
 
 if TYPE_CHECKING:
     from hemlockhall_router.connection.message import ResponseHead
@@ -83,8 +84,9 @@
     value = head.header(b"keep-alive") or b""
     for part in value.split(b","):
         key, _, seconds = part.strip().partition(b"=")
-        if key.lower() == b"timeout" and seconds.isdigit():
-            return min(IDLE_TIMEOUT_S, int(seconds) * IDLE_TIMEOUT_FRACTION)
+        number = decode_number(seconds)
+        if key.lower() == b"timeout" and number is not None:
+            return min(IDLE_TIMEOUT_S, number * IDLE_TIMEOUT_FRACTION)
     return IDLE_TIMEOUT_S
 
 
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -9,6 +9,7 @@
 import anyio
 from loguru import logger
 
+from hemlockhall_router.connection.decoding import MAX_INTEGER, decode_number
 from hemlockhall_router.process.limits import NoPermitError
 from hemlockhall_router.process.quarantine import QUARANTINED_TEXT, CrashCount
 from hemlockhall_router.process.statement import EndpointsRestingError
@@ -624,9 +625,9 @@
 
 
 def _event_number(value: bytes | None) -> int | None:
-    if value is None or not value.isdigit():
-        return None
-    return int(value)
+    number = decode_number(value) if value is not None else None
+    # Ids beyond the range are not told apart, so they are not compared.
+    return number if number != MAX_INTEGER else None
 
 
 __all__ = [
--- a/tests/core/connection/test_message.py
+++ b/tests/core/connection/test_message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -28,6 +29,14 @@
         with pytest.raises(BatchDecodeError, match="not a batch"):
             decode(encode(BATCH)[:-1])
 
+    def test_a_nested_batch_raises_only_a_decode_error(self) -> None:
+        """Guards against a batch whose nested values end the process."""
+        nested = msgspec.Raw(b"\x91" * 3000 + b"\x90")
+        raw = msgspec.msgpack.decode(encode(BATCH))
+        raw = {**raw, "unknown": nested} if isinstance(raw, dict) else [*raw, nested]
+        with pytest.raises(BatchDecodeError, match="RecursionError"):
+            decode(msgspec.msgpack.encode(raw))
+
     @given(st.binary(max_size=200))
     def test_random_bytes_raise_only_a_decode_error(self, data: bytes) -> None:
         try:
--- a/tests/core/version/test_text.py
+++ b/tests/core/version/test_text.py
@@ -19,6 +19,13 @@
 """
 
 
+class TestParse:
+    def test_a_nested_document_is_an_error_of_the_document(self) -> None:
+        """Guards against a submitted document that fails the process that reads it."""
+        with pytest.raises(DocumentError, match="RecursionError"):
+            parse("a = " + "[" * 3000 + "]" * 3000)
+
+
 class TestSplit:
     def test_sections_keep_comments_and_order(self) -> None:
         sections = split(TEXT)
--- a/tests/router/test_pool.py
+++ b/tests/router/test_pool.py
@@ -43,3 +43,13 @@
             await anyio.sleep(0.005)
             assert await pool.take_idle(ADDRESS) is None
         assert await pool.take_idle(ADDRESS) is None
+
+
+class TestIdleTimeout:
+    @pytest.mark.parametrize("seconds", [b"9" * 5000, b"-1", b"\xb2", b""])
+    async def test_an_odd_one_fails_no_response(self, seconds: bytes) -> None:
+        """Guards against a number of many digits that fails the request."""
+        pool = ConnectionPool()
+        head = ResponseHead(200, b"", [(b"Keep-Alive", b"timeout=" + seconds)])
+        await pool.release(ADDRESS, SlowClosingConnection(), head)
+        assert await pool.take_idle(ADDRESS) is not None
--- a/tests/router/test_stream.py
+++ b/tests/router/test_stream.py
@@ -830,3 +830,20 @@
             assert response.head.status == 503
             text = router.frontend._context.metrics.render().decode()
             assert 'refusals_total{label="retry_budget"} 1' in text
+
+
+class TestEventIds:
+    async def test_an_odd_one_ends_no_stream(self) -> None:
+        """Guards against an id of many digits that fails the stream."""
+        text = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+
+        async def handler(request: ReceivedRequest) -> None:
+            await request.begin()
+            for _ in range(3):
+                await request.raw(text)
+            await request.end()
+
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("p1", handler, **ALL_LAYERS)
+            response = await harness.request("/draft/x", method="POST")
+        assert response.body == 3 * text
