Plan a service although an entry states layers that its model lacks

Callers would lose the layers of endpoints that go, and on all routers ended: an entry of another writer whose layers end after the model's last one raises IndexError in the plan of its service, at each plan while it stays.

The planner takes such an endpoint for one without layers. One that had them under an earlier configuration gets new ones so; one that does not answer is down after its first order.

--- a/packages/router/src/hemlockhall_router/process/planner.py
+++ b/packages/router/src/hemlockhall_router/process/planner.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -159,7 +159,10 @@
         version, idle_deadline = self._idle.get(service, (-1, 0.0))
         if version == self._directory.version and now < idle_deadline:
             return
-        members = self._directory.live_endpoints(service)
+        members = [
+            _without_foreign_layers(endpoint, model)
+            for endpoint in self._directory.live_endpoints(service)
+        ]
         self._track_members(service, members, now)
         assigned: dict[str, LayerRange | None] = {}
         for endpoint in members:
@@ -374,6 +377,16 @@
         )
 
 
+def _without_foreign_layers(endpoint: Endpoint, model: Model) -> Endpoint:
+    """Return an endpoint without its layers if the model has no such layers.
+
+    An entry may state any, and those of an earlier configuration are not served.
+    """
+    if endpoint.layers is None or endpoint.layers.end <= model.layers:
+        return endpoint
+    return replace(endpoint, layers=None)
+
+
 __all__ = [
     "Planner",
 ]
--- a/tests/router/test_foreign.py
+++ b/tests/router/test_foreign.py
@@ -156,6 +156,39 @@
             for router in harness.routers:
                 assert set(router.directory.records) == {"d1", "d2", "p1"}
 
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"layers": [0, 65_535]},
+            {"layers": [7, 65_535]},
+            {"layers": [3, 3]},
+            {"layers": [8, 9], "accelerator": "none"},
+            {"orders": 2**53 - 1, "slots": 0, "born": 0},
+            {"layers": [0, 8], "slots": 2**53 - 1},
+            {"service": "desk", "slots": 0, "accelerator": "big"},
+            {"service": "none", "place": ""},
+        ],
+    )
+    async def test_odd_entries_leave_the_others_in_use(
+        self, fields: dict[str, Any]
+    ) -> None:
+        """Guards against an entry that can be read and fails the plan of a service."""
+        entry = {"service": "pool", "port": 1, "accelerator": "big", **fields}
+        async with router_harness(ROUTES) as harness:
+            await start(harness)
+            for key in ("a", "q", "z"):
+                harness.store.put(Table.ENDPOINTS, key, msgspec.json.encode(entry))
+            await anyio.sleep(SETTLE_S)
+            for _ in range(3):
+                for router in range(2):
+                    response = await harness.request("/draft/", router=router)
+                    assert response.head.status in (200, 503)
+                await anyio.sleep(SETTLE_S)
+            for key in ("a", "q", "z"):
+                harness.store.remove(Table.ENDPOINTS, key)
+            await anyio.sleep(SETTLE_S)
+            await assert_served(harness)
+
     async def test_messages_of_hosts_that_cannot_be_read_are_dropped(self) -> None:
         """Guards against bytes at a host's port that end the router."""
         async with router_harness(ROUTES) as harness:
