Leave answered requests out of what a shutdown logs as cut off

Found on reading: a request whose response is complete is open for up to half a second more, until its caller closes the connection, and was logged as cut off if the host ended in that time. Only the log changes.

--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -153,7 +153,7 @@
         """
         self._shutdown.closing = True
         self.close_idle()
-        for entry in self._open:
+        for entry in list(self._open):
             if not entry.response.started:
                 entry.scope.cancel()
         while time.monotonic() < deadline:
@@ -173,6 +173,8 @@
         """
         now = time.monotonic()
         for entry in self._open:
+            if entry.response.complete:
+                continue
             logger.warning(
                 "request cut off",
                 request=entry.request_id,
