Keep no long addresses of another writer in memory

Found on reading: the cache of parsed addresses keeps what it is called with, and an entry may hold 64 KB, so that some thousand entries fill 64 MB. Addresses longer than any valid one are rejected before the cache. Its test fails before, as the cache grows.

--- a/packages/router/src/hemlockhall_router/connection/decoding.py
+++ b/packages/router/src/hemlockhall_router/connection/decoding.py
@@ -18,6 +18,8 @@
 # Ports are below this number.
 PORT_LIMIT = 65_536
 MAX_PORT_DIGITS = 5
+# As in "255.255.255.255:65535".
+MAX_ADDRESS_CHARS = 21
 # Entries in the cache of parsed addresses.
 ADDRESS_CACHE_SIZE = 1024
 
@@ -37,9 +39,16 @@
     return min(int(digits), MAX_INTEGER)
 
 
-@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
 def parse_address(address: str) -> tuple[str, int] | None:
     """Return the IPv4 address and the port in ``ip:port``, or None."""
+    # The cache keeps what it is called with.
+    if len(address) > MAX_ADDRESS_CHARS:
+        return None
+    return _parse_short_address(address)
+
+
+@lru_cache(maxsize=ADDRESS_CACHE_SIZE)
+def _parse_short_address(address: str) -> tuple[str, int] | None:
     host, _, digits = address.rpartition(":")
     if not digits.isascii() or not digits.isdigit() or len(digits) > MAX_PORT_DIGITS:
         return None
--- a/tests/router/test_decoding.py
+++ b/tests/router/test_decoding.py
@@ -11,6 +11,7 @@
 from hemlockhall_router.connection.decoding import (
     MAX_INTEGER,
     DecodeError,
+    _parse_short_address,
     decode_number,
     decoding,
     parse_address,
@@ -42,5 +43,12 @@
             host, port = found
             assert socket.inet_aton(host) and 0 < port < 65_536
 
+    def test_a_long_one_is_not_kept(self) -> None:
+        """Guards against addresses of another writer that fill the memory."""
+        before = _parse_short_address.cache_info().currsize
+        assert parse_address("1" * 60_000 + ":80") is None
+        assert _parse_short_address.cache_info().currsize == before
+
     def test_an_address_is_read(self) -> None:
+        assert parse_address("255.255.255.255:65535") == ("255.255.255.255", 65_535)
         assert parse_address("10.1.2.3:8080") == ("10.1.2.3", 8080)
