Log who ended a stream's attempt, what its caller had, and why none followed

A caller's stream was cut off 49 ms after its first event. The log could not tell whether the host or the endpoint ended the attempt, what the caller had, whether a crash, evidence or a verdict was the reason that no attempt followed, or which configuration was in force. 'stream broke' now has ended_by, events and version; 'stream given up' has the last failure and the grounds; 'request not repeated' has the evidence; 'endpoint down' has its cause. A counter has the streams that were cut off after an event, by reason.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -735,8 +735,11 @@
             load=record.load,
         )
 
-    def set_down(self, endpoint_id: str, *, down: bool) -> None:
-        """Mark an endpoint as down or up; move its streams if it went down."""
+    def set_down(self, endpoint_id: str, *, down: bool, cause: str = "") -> None:
+        """Mark an endpoint as down or up; move its streams if it went down.
+
+        ``cause`` is how that was found, for the log.
+        """
         record = self.records.get(endpoint_id)
         if record is None or record.down == down:
             return
@@ -745,6 +748,7 @@
         logger.warning(
             "endpoint down" if down else "endpoint back",
             endpoint=endpoint_id,
+            cause=cause,
             streams=len(record.active_streams),
         )
         self._bump_version()
@@ -819,7 +823,7 @@
             record.last_event_at = max(record.last_event_at, event_at)
             if record.down and event_at > record.down_changed_at + REMOTE_EVENT_DELAY_S:
                 # It serves other hosts, so only the network path from this host failed.
-                self.set_down(record.endpoint.id, down=False)
+                self.set_down(record.endpoint.id, down=False, cause="serves others")
 
     def _move_batch(self, record: EndpointRecord, cause: str, now: float) -> None:
         """Request the move of a fraction of an endpoint's streams."""
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -416,6 +416,7 @@
             deadline=deadline,
             token_counts=tokens,
             segments=self._context.dialect.decode_prompt_segments(head),
+            config_version=routing.version,
         )
         return entry.routed
 
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -172,7 +172,7 @@
         return due
 
     async def _probe_round(self, endpoint_ids: list[str]) -> None:
-        failed: list[str] = []
+        failed: dict[str, str] = {}
         async with anyio.create_task_group() as group:
             for endpoint_id in endpoint_ids:
                 group.start_soon(self._probe, endpoint_id, failed)
@@ -184,8 +184,8 @@
                 "most probes failed", asked=len(endpoint_ids), failed=len(failed)
             )
             return
-        for endpoint_id in failed:
-            self._directory.set_down(endpoint_id, down=True)
+        for endpoint_id, cause in failed.items():
+            self._directory.set_down(endpoint_id, down=True, cause=cause)
         unhealthy = any(
             self._directory.unhealthy(endpoint_id) for endpoint_id in endpoint_ids
         )
@@ -195,7 +195,8 @@
             else min(MAX_SILENCE_FACTOR, self._silence_factor * SILENCE_FACTOR_GROWTH)
         )
 
-    async def _probe(self, endpoint_id: str, failed: list[str]) -> None:
+    async def _probe(self, endpoint_id: str, failed: dict[str, str]) -> None:
+        """Probe an endpoint; add it to ``failed`` with the cause if that fails."""
         record = self._directory.records.get(endpoint_id)
         if record is None:
             return
@@ -206,16 +207,16 @@
             report = await self.fetch_report(record.endpoint, timeout_s)
         except CallWithheldError:
             return
-        except TransportError:
+        except TransportError as exc:
             late = time.monotonic() - deadline >= STALL_S
             if not late and self._reading_since < began:
-                failed.append(endpoint_id)
+                failed[endpoint_id] = str(exc)
             return
         except DecodeError as exc:
             # It responds, so it is up; plain services have no report call.
             logger.debug("no report", endpoint=endpoint_id, cause=str(exc))
             return
-        self._directory.set_down(endpoint_id, down=False)
+        self._directory.set_down(endpoint_id, down=False, cause="answers probes")
         self._directory.apply_report(endpoint_id, report)
 
     async def fetch_report(
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -20,6 +20,7 @@
 )
 from hemlockhall_router.policy.crash import MIN_REQUESTS, is_fatal
 from hemlockhall_router.process.setting import QuarantineSection
+from hemlockhall_router.request.failure import decode_value
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -206,19 +207,33 @@
             return True
         own = request_key(request)
         limits = PROVEN_CRASHES
+        evidence = 0
+        quarantined = False
         for key in segment_keys(request):
             verdict = self._verdicts.get(key)
-            if verdict is not None and verdict.item.quarantined:
-                return False
+            quarantined = quarantined or (
+                verdict is not None and verdict.item.quarantined
+            )
             if key not in self._served:
                 limits = min(limits, UNPROVEN_CRASHES)
             suspect = self._suspects.get(key)
-            if suspect is not None and any(
-                item.item.request != own for item in self._counting(suspect)
-            ):
-                limits = SUSPECTED_CRASHES
+            counting = self._counting(suspect) if suspect is not None else []
+            evidence += sum(item.item.request != own for item in counting)
+        if evidence:
+            limits = SUSPECTED_CRASHES
         responded, waiting = limits
-        return len(crashes.responded) < responded and len(crashes.waiting) < waiting
+        if not quarantined:
+            if len(crashes.responded) < responded and len(crashes.waiting) < waiting:
+                return True
+        logger.warning(
+            "request not repeated",
+            request=decode_value(request.id),
+            quarantined=quarantined,
+            evidence=evidence,
+            responded=len(crashes.responded),
+            waiting=len(crashes.waiting),
+        )
+        return False
 
     def record_served(self, request: RoutedRequest) -> None:
         """Record that an endpoint served a request and did not crash under it."""
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -82,10 +82,17 @@
 CRASH_REASONS = frozenset((RetryReason.BROKEN, RetryReason.SILENT, RetryReason.MOVED))
 # Reasons of attempts in which no request was sent.
 UNSENT_REASONS = WITHHELD_REASONS | {RetryReason.NOT_SENT}
+# Reasons of attempts that this host ended while the endpoint might have gone on.
+ENDED_HERE_REASONS = WITHHELD_REASONS | {
+    RetryReason.SILENT,
+    RetryReason.MOVED,
+    RetryReason.STAYED,
+}
 
 
 __all__ = [
     "CRASH_REASONS",
+    "ENDED_HERE_REASONS",
     "UNSENT_REASONS",
     "RefusalReason",
     "RetryReason",
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -71,6 +71,7 @@
     ``completed`` is true once an endpoint has finished the response, ``sends`` counts
     how often it was sent to an endpoint, and ``retry_taken_at`` is the monotonic time
     at which the latest retry was taken for it.
+    ``config_version`` is that of the configuration by which it was routed.
     ``segment_keys`` are the keys of the shared segments of its prompt, None until they
     are needed, and ``tried_segments`` those of segments whose quarantine has ended and
     that this request tries.
@@ -90,6 +91,7 @@
     completed: bool = False
     sends: int = 0
     retry_taken_at: float = inf
+    config_version: int = 0
 
     @property
     def priority(self) -> int:
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -22,6 +22,7 @@
 )
 from hemlockhall_router.request.reason import (
     CRASH_REASONS,
+    ENDED_HERE_REASONS,
     UNSENT_REASONS,
     WITHHELD_REASONS,
     RefusalReason,
@@ -108,6 +109,7 @@
         self._served = False
         # Whether it is not sent again, as endpoints crashed under it.
         self._crashed = False
+        self._last_failure = ""
         self._executed_at: dict[str, Endpoint] = {}
         self._times = StreamTimes()
 
@@ -173,7 +175,7 @@
             if not events:
                 continue
             attempt.record_event()
-            self._times.record_event()
+            self._times.record_event(len(events))
             if not writer.started:
                 assert attempt.head is not None
                 await writer.start_stream(attempt.head)
@@ -288,8 +290,11 @@
             request=decode_value(self._request.id),
             reason=reason.value,
             cause=cause,
+            ended_by="host" if reason in ENDED_HERE_REASONS else "endpoint",
             path=attempt.endpoint_ids,
             responded=attempt.responded,
+            events=self._times.event_count,
+            version=self._request.config_version,
             segments=self._request.segments.logged,
             after=decode_value(self._last_id or b""),
         )
@@ -300,6 +305,7 @@
         assert attempt is not None
         self._context.metrics.count_retry(exc.reason)
         self._log_failure(attempt, exc.reason, str(exc))
+        self._last_failure = f"{exc.reason.value}: {exc}"
         self._excluded_ids.update(exc.suspects)
         if exc.reason not in WITHHELD_REASONS:
             self._rejected_for_room = attempt.rejected_for_room
@@ -593,8 +599,14 @@
             reason=refusal.value,
             after=decode_value(self._last_id or b""),
             tries=self._attempts_sent,
+            last_failure=self._last_failure,
+            crashed=self._crashed,
+            quarantined=verdict is not None,
+            remaining_ms=round(request.remaining_s * 1000),
+            version=request.config_version,
         )
         if writer.started:
+            self._context.metrics.count("streams_cut_off", refusal.value)
             # Closing without the last chunk shows that the stream is incomplete.
             writer.close_connection = True
             return
--- a/packages/router/src/hemlockhall_router/request/times.py
+++ b/packages/router/src/hemlockhall_router/request/times.py
@@ -8,7 +8,8 @@
 class StreamTimes:
     """Event times of one stream, in seconds since its request arrived.
 
-    ``first_event_s`` is the time of the first event, 0.0 before it.
+    ``first_event_s`` is the time of the first event, 0.0 before it, and ``event_count``
+    how many events the caller was sent.
     ``longest_event_gap_s`` is the longest time between two events, which ended
     ``longest_event_gap_end_s`` after the request arrived.
     """
@@ -17,6 +18,7 @@
         self._started_at = time.monotonic()
         self._last_event_s = 0.0
         self.first_event_s = 0.0
+        self.event_count = 0
         self.longest_event_gap_s = 0.0
         self.longest_event_gap_end_s = 0.0
 
@@ -25,8 +27,9 @@
         """Seconds since the request arrived."""
         return time.monotonic() - self._started_at
 
-    def record_event(self) -> None:
+    def record_event(self, count: int = 1) -> None:
         """Record that one or more events arrived."""
+        self.event_count += count
         now_s = time.monotonic() - self._started_at
         if not self.first_event_s:
             self.first_event_s = now_s
