--- a/packages/standins/src/hemlockhall_standins/router/endpoint.py
+++ b/packages/standins/src/hemlockhall_standins/router/endpoint.py
@@ -58,7 +58,7 @@
         echo = f"request-id: {self.header('request-id')}\r\n"
         head = f"HTTP/1.1 {status} X\r\n{signed}{echo}{headers}"
         head += f"content-length: {len(body)}\r\n\r\n"
-        await self.stream.send(head.encode() + body)
+        await self._send(head.encode() + body)
 
     async def refuse(self, status: int = 503, headers: str = "") -> None:
         """Respond that the request was not executed."""
@@ -76,11 +76,11 @@
         head += f"signature: {self.endpoint.name}\r\n"
         head += f"request-id: {self.header('request-id')}\r\n"
         head += self.endpoint.statement_headers()
-        await self.stream.send(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
+        await self._send(f"{head}transfer-encoding: chunked\r\n\r\n".encode())
 
     async def raw(self, data: bytes) -> None:
         """Send bytes as one chunk of the stream."""
-        await self.stream.send(b"%x\r\n%b\r\n" % (len(data), data))
+        await self._send(b"%x\r\n%b\r\n" % (len(data), data))
 
     async def event(self, number: int) -> None:
         """Send the event of this number."""
@@ -88,7 +88,12 @@
 
     async def end(self) -> None:
         """Send the last chunk, which completes the stream."""
-        await self.stream.send(b"0\r\n\r\n")
+        await self._send(b"0\r\n\r\n")
+
+    async def _send(self, data: bytes) -> None:
+        """Send bytes once the endpoint is not silent."""
+        await self.endpoint.wait_until_heard()
+        await self.stream.send(data)
 
     async def close(self) -> None:
         """Close the connection with a FIN."""
@@ -126,6 +131,9 @@
     that the endpoint leaves if ``leaving`` is true. Refusals ask for ``rest_s`` seconds
     of rest unless it is None; ``rests`` has the time of each of them, these seconds and
     the id of its request.
+
+    Until the monotonic time ``silent_until`` it accepts connections and requests and
+    sends nothing.
     """
 
     name: str
@@ -144,6 +152,7 @@
     rests: list[tuple[float, float, str]] = field(default_factory=list)
     leaving: bool = False
     arrivals: list[float] = field(default_factory=list)
+    silent_until: float = 0.0
     _scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     async def start(self, group: TaskGroup) -> None:
@@ -163,6 +172,15 @@
             async with listener:
                 await listener.serve(self._serve_connection)
 
+    def fall_silent(self, seconds: float) -> None:
+        """Send nothing for a while, and go on after it."""
+        self.silent_until = time.monotonic() + seconds
+
+    async def wait_until_heard(self) -> None:
+        """Wait until the endpoint is not silent."""
+        while (left_s := self.silent_until - time.monotonic()) > 0:
+            await anyio.sleep(left_s)
+
     def stop(self) -> None:
         """Stop listening and close all connections."""
         self._scope.cancel()
