Tell endpoints that are silent from those that have ended

What callers saw: a stream was cut off 49 ms after its first event, though nothing was in trouble and 19.9 s were left.

Cause: an endpoint without an answer to a probe within 35 ms was marked as down, and 'down' meant crashed in each place that asks: its streams had to leave it at once, prompts that were at it got evidence against them at all hosts for ten minutes, and with the evidence of another request a stream in its first 0.1 s was given up, also if its caller had events.

Evidence: the log of the reproduction (test_silence.py): 'endpoint down' (nothing received before the deadline), 'stream broke' (moved, ended by the host, one event), 'request not repeated' (evidence 1, waiting 1), 'stream given up'.

Now only a refused connection, another start time or a replaced address is an end. A silent endpoint gets no new requests, may keep its streams, is evidence of nothing, counts as possibly running, and keeps its layers for 2 s. A probe that outlasts a pause, and events of its streams, show at once that it goes on; before, it was left out until the next probe, up to a second later.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -14,6 +14,7 @@
 
 from hemlockhall_router.connection.error import (
     ConnectionLostError,
+    ConnectRefusedError,
     NotSentError,
     ProtocolError,
     ReadTimeoutError,
@@ -103,14 +104,22 @@
 
     @classmethod
     async def open(cls, host: str, port: int, deadline: float) -> ClientConnection:
-        """Connect before ``deadline`` or raise ``NotSentError``."""
+        """Connect before ``deadline``.
+
+        Raises
+        ------
+        NotSentError
+            If that fails; its subclass ``ConnectRefusedError`` if nothing
+            listens there.
+        """
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
                 stream = await anyio.connect_tcp(host, port)
         except TimeoutError as exc:
             raise NotSentError(f"{host}:{port}: connection timed out") from exc
         except OSError as exc:
-            raise NotSentError(f"{host}:{port}: connection failed: {exc}") from exc
+            error = ConnectRefusedError if _refused(exc) else NotSentError
+            raise error(f"{host}:{port}: connection failed: {exc}") from exc
         return cls(stream)
 
     async def send(self, data: bytes, deadline: float) -> None:
@@ -278,6 +287,15 @@
             await anyio.aclose_forcefully(self._stream)
 
 
+def _refused(exc: BaseException | None) -> bool:
+    """Return whether a connection was refused; anyio wraps the error."""
+    while exc is not None:
+        if isinstance(exc, ConnectionRefusedError):
+            return True
+        exc = exc.__cause__
+    return False
+
+
 class _EndOfStreamError(Exception):
     """The server closed the connection without a reset, after a head was read."""
 
--- a/packages/router/src/hemlockhall_router/connection/error.py
+++ b/packages/router/src/hemlockhall_router/connection/error.py
@@ -11,6 +11,10 @@
     """No byte of the request was sent, so it was not executed."""
 
 
+class ConnectRefusedError(NotSentError):
+    """Nothing listens at the address: the process that did has ended."""
+
+
 class ConnectionLostError(TransportError):
     """The connection failed after bytes of the request may have been sent.
 
@@ -46,6 +50,7 @@
     "CallerDisconnectedError",
     "CallerError",
     "ConnectionLostError",
+    "ConnectRefusedError",
     "NotSentError",
     "ProtocolError",
     "ReadTimeoutError",
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -29,6 +29,7 @@
 from hemlockhall_router.policy.room import clamp_slots
 from hemlockhall_router.process.addresses import AddressTable
 from hemlockhall_router.process.replica_index import ReplicaIndex
+from hemlockhall_router.request.reason import RetryReason
 from hemlockhall_router.version.endpoint import LayerRange
 
 if TYPE_CHECKING:
@@ -71,6 +72,9 @@
 # and at those that it tells. The latter keep it out as long as the former repeats it.
 PRESUMED_DRAINING_S = 2.0
 REMOTE_PRESUMED_DRAINING_S = 1.0
+# Time for which an endpoint that does not answer may only pause: it is used where no
+# other is left, and keeps its layers.
+PAUSE_LIMIT_S = 2.0
 # Time for which an incarnation without an entry may still run: as long as any stream
 # lasts.
 REMOVED_RUNNING_S = 30.0
@@ -100,8 +104,9 @@
     which they or a lack of room keep the endpoint from new requests. ``latency_s`` is
     its average time to the first byte, ``service_time_s`` the time that a request takes
     without waiting. ``slowdown`` is the factor on the usual time of a token, 1.0 =
-    normal. ``down`` last changed at ``down_changed_at``. The next group of streams is
-    moved off the endpoint at ``next_move_deadline``.
+    normal. ``down`` tells that it does not answer, which last changed at
+    ``down_changed_at``, and ``ended`` that its process is known to have ended. The next
+    group of streams is moved off the endpoint at ``next_move_deadline``.
 
     ``key`` is the endpoint's number in messages between hosts. ``entry_grace_deadline``
     is set while the store has no entry of the endpoint, which may come back until
@@ -135,6 +140,7 @@
     service_time_s: float = INITIAL_LATENCY_S
     down: bool = False
     down_changed_at: float = 0.0
+    ended: bool = False
     probed_at: float = 0.0
     slowdown: float = 1.0
     next_move_deadline: float | None = None
@@ -185,6 +191,7 @@
         self.failures = 0
         self.backoff_deadline = 0.0
         self.down = False
+        self.ended = False
         self.slowdown = 1.0
         self.leaving_deadline = 0.0
         self.next_move_deadline = None
@@ -216,6 +223,12 @@
         """Return whether it is presumed to drain without a notice of its own."""
         return now < self.leaving_deadline < float("inf")
 
+    def pausing(self, now: float) -> bool:
+        """Return whether it does not answer and is likely to go on."""
+        if not self.down or self.ended:
+            return False
+        return now - self.down_changed_at < PAUSE_LIMIT_S
+
     def usable(self, now: float) -> bool:
         """Return whether it may receive a new request."""
         if self.down or self.replaced or self.leaving(now):
@@ -407,9 +420,10 @@
         record = self.records.pop(endpoint_id)
         self._addresses.release(record)
         self.generation += 1
-        if not record.down and not record.replaced:
+        now = time.monotonic()
+        if not record.replaced and (not record.down or record.pausing(now)):
             # Some endpoints remove their entry and keep serving without one.
-            deadline = time.monotonic() + REMOVED_RUNNING_S
+            deadline = now + REMOVED_RUNNING_S
             self._removed_running_deadlines[record.endpoint.incarnation] = deadline
         if record.active_streams:
             record.next_move_deadline = (
@@ -461,16 +475,16 @@
     def has_crashed(self, endpoint: Endpoint) -> bool:
         """Return whether this incarnation of an endpoint ended without leaving.
 
-        One that does not answer probes counts as ended, although it may come back. The
-        entry of one that crashed stays until it has not been renewed for some time, so
-        one without an entry has left.
+        One that is silent may go on, so silence is no crash. The entry of one that
+        crashed stays until it has not been renewed for some time, so one without an
+        entry has left.
         """
         record = self.records.get(endpoint.id)
         if record is None:
             return False
         if record.endpoint.incarnation != endpoint.incarnation or record.replaced:
             return True
-        return record.down and not self.is_leaving(endpoint)
+        return record.ended and not self.is_leaving(endpoint)
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether this incarnation of an endpoint shuts down as planned."""
@@ -492,12 +506,14 @@
         return found
 
     def live_endpoints(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service that are up and not leaving."""
+        """Return the endpoints of a service that are up, or pause, and do not leave."""
         now = time.monotonic()
         found = []
         for record in self.replica_index.records(service):
             endpoint = record.endpoint
-            if record.down or record.replaced or record.leaving(now):
+            if record.down and not record.pausing(now):
+                continue
+            if record.replaced or record.leaving(now):
                 continue
             found.append(endpoint)
         return found
@@ -735,28 +751,51 @@
             load=record.load,
         )
 
-    def set_down(self, endpoint_id: str, *, down: bool, cause: str = "") -> None:
-        """Mark an endpoint as down or up; move its streams if it went down.
+    def set_down(
+        self, endpoint_id: str, *, down: bool, ended: bool = False, cause: str = ""
+    ) -> None:
+        """Mark an endpoint as down or up; ask its streams to move if it went down.
 
-        ``cause`` is how that was found, for the log.
+        Parameters
+        ----------
+        endpoint_id : str
+            The endpoint.
+        down : bool
+            Whether it does not answer.
+        ended : bool
+            Whether its process has ended. If not, it may go on after a pause, and
+            streams leave it only for a path that serves them.
+        cause : str
+            How that was found, for the log.
         """
         record = self.records.get(endpoint_id)
-        if record is None or record.down == down:
+        if record is None:
             return
-        record.down = down
-        record.down_changed_at = time.monotonic()
+        # One that ended and then is silent, as its machine is off, still has ended.
+        ended = down and (ended or record.ended)
+        if record.down == down and record.ended == ended:
+            return
+        if record.down != down:
+            record.down_changed_at = time.monotonic()
+        record.down, record.ended = down, ended
         logger.warning(
             "endpoint down" if down else "endpoint back",
             endpoint=endpoint_id,
+            ended=ended,
             cause=cause,
             streams=len(record.active_streams),
         )
         self._bump_version()
-        if down:
-            _move_streams(record, "endpoint down")
-        else:
+        if not down:
             # It may have become slower or faster.
             record.sampled_at = float("-inf")
+        elif ended:
+            _move_streams(record, "endpoint ended")
+        else:
+            for stream in list(record.active_streams):
+                stream.request_move(
+                    "endpoint silent", still_served=True, reason=RetryReason.SILENT
+                )
 
     def apply_report(self, endpoint_id: str, report: EndpointReport) -> None:
         """Apply an endpoint's report unless the incarnation was replaced.
@@ -825,6 +864,17 @@
                 # It serves other hosts, so only the network path from this host failed.
                 self.set_down(record.endpoint.id, down=False, cause="serves others")
 
+    def end_pause(self, endpoint_id: str) -> None:
+        """Stop to expect that a silent endpoint goes on."""
+        record = self.records.get(endpoint_id)
+        if record is None or not record.down or record.ended:
+            return
+        record.down_changed_at = min(
+            record.down_changed_at, time.monotonic() - PAUSE_LIMIT_S
+        )
+        logger.warning("endpoint stays silent", endpoint=endpoint_id)
+        self._bump_version()
+
     def _move_batch(self, record: EndpointRecord, cause: str, now: float) -> None:
         """Request the move of a fraction of an endpoint's streams."""
         due = []
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -9,16 +9,21 @@
 from loguru import logger
 
 from hemlockhall_router.connection.client import ClientConnection
-from hemlockhall_router.connection.error import NotSentError, TransportError
+from hemlockhall_router.connection.error import (
+    ConnectRefusedError,
+    NotSentError,
+    TransportError,
+)
 from hemlockhall_router.connection.message import encode_request
 from hemlockhall_router.process.dialect import DecodeError
+from hemlockhall_router.process.directory import PAUSE_LIMIT_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from hemlockhall_router.connection.message import Response
     from hemlockhall_router.process.dialect import Dialect, EndpointCall
-    from hemlockhall_router.process.directory import Directory
+    from hemlockhall_router.process.directory import Directory, EndpointRecord
     from hemlockhall_router.process.statement import EndpointStatements
     from hemlockhall_router.request.active_stream import ActiveStream
     from hemlockhall_router.version.endpoint import Endpoint, EndpointReport
@@ -83,6 +88,8 @@
         self._directory = directory
         self._host_count = host_count
         self._requested: set[str] = set()
+        # Silent endpoints of which a probe waits for the answer.
+        self._awaited: set[str] = set()
         self._silence_factor = 1.0
         self._polled_at = time.monotonic()
         self._reading_since = 0.0
@@ -111,7 +118,7 @@
                 self._check_silent_streams()
                 due = self._take_due()
                 if due:
-                    group.start_soon(self._probe_round, due)
+                    group.start_soon(self._probe_round, due, group)
 
     def _detect_stall(self) -> None:
         """Detect that this host was kept from reading.
@@ -166,13 +173,21 @@
         for endpoint_id, record in self._directory.records.items():
             if not record.unhealthy or not self.may_call(record.endpoint):
                 continue
+            if _heard_again(record):
+                self._directory.set_down(endpoint_id, down=False, cause="sends events")
+                continue
+            if endpoint_id in self._awaited:
+                continue
             if now - record.probed_at >= interval_s:
                 record.probed_at = now
                 due.append(endpoint_id)
         return due
 
-    async def _probe_round(self, endpoint_ids: list[str]) -> None:
-        failed: dict[str, str] = {}
+    async def _probe_round(
+        self, endpoint_ids: list[str], awaiting: anyio.abc.TaskGroup
+    ) -> None:
+        """Probe endpoints; tasks that wait for silent ones run in ``awaiting``."""
+        failed: dict[str, TransportError] = {}
         async with anyio.create_task_group() as group:
             for endpoint_id in endpoint_ids:
                 group.start_soon(self._probe, endpoint_id, failed)
@@ -184,8 +199,16 @@
                 "most probes failed", asked=len(endpoint_ids), failed=len(failed)
             )
             return
-        for endpoint_id, cause in failed.items():
-            self._directory.set_down(endpoint_id, down=True, cause=cause)
+        for endpoint_id, exc in failed.items():
+            ended = isinstance(exc, ConnectRefusedError)
+            record = self._directory.records.get(endpoint_id)
+            newly_silent = record is not None and not record.down and not ended
+            self._directory.set_down(
+                endpoint_id, down=True, ended=ended, cause=str(exc)
+            )
+            if newly_silent:
+                self._awaited.add(endpoint_id)
+                awaiting.start_soon(self._await_answer, endpoint_id)
         unhealthy = any(
             self._directory.unhealthy(endpoint_id) for endpoint_id in endpoint_ids
         )
@@ -195,12 +218,34 @@
             else min(MAX_SILENCE_FACTOR, self._silence_factor * SILENCE_FACTOR_GROWTH)
         )
 
-    async def _probe(self, endpoint_id: str, failed: dict[str, str]) -> None:
-        """Probe an endpoint; add it to ``failed`` with the cause if that fails."""
+    async def _await_answer(self, endpoint_id: str) -> None:
+        """Probe a silent endpoint with a timeout that outlasts its pause.
+
+        It answers as soon as it goes on, so that it is used again at once.
+        """
+        failed: dict[str, TransportError] = {}
+        try:
+            await self._probe(endpoint_id, failed, PAUSE_LIMIT_S)
+        finally:
+            self._awaited.discard(endpoint_id)
+        exc = failed.get(endpoint_id)
+        if isinstance(exc, ConnectRefusedError):
+            self._directory.set_down(endpoint_id, down=True, ended=True, cause=str(exc))
+        elif exc is not None:
+            self._directory.end_pause(endpoint_id)
+
+    async def _probe(
+        self,
+        endpoint_id: str,
+        failed: dict[str, TransportError],
+        timeout_s: float | None = None,
+    ) -> None:
+        """Probe an endpoint; add it to ``failed`` with the error if that fails."""
         record = self._directory.records.get(endpoint_id)
         if record is None:
             return
-        timeout_s = RELAXED_PROBE_TIMEOUT_S if record.down else PROBE_TIMEOUT_S
+        if timeout_s is None:
+            timeout_s = RELAXED_PROBE_TIMEOUT_S if record.down else PROBE_TIMEOUT_S
         began = time.monotonic()
         deadline = began + timeout_s
         try:
@@ -210,7 +255,7 @@
         except TransportError as exc:
             late = time.monotonic() - deadline >= STALL_S
             if not late and self._reading_since < began:
-                failed[endpoint_id] = str(exc)
+                failed[endpoint_id] = exc
             return
         except DecodeError as exc:
             # It responds, so it is up; plain services have no report call.
@@ -266,6 +311,13 @@
         return response
 
 
+def _heard_again(record: EndpointRecord) -> bool:
+    """Return whether this host has events of a silent endpoint since it was silent."""
+    if not record.down or record.ended:
+        return False
+    return record.last_local_event_at > record.down_changed_at
+
+
 __all__ = [
     "CallWithheldError",
     "Prober",
--- a/packages/router/src/hemlockhall_router/request/active_stream.py
+++ b/packages/router/src/hemlockhall_router/request/active_stream.py
@@ -111,7 +111,13 @@
             now - max(self.last_event_at, reading_since) > self.silence_limit_s * factor
         )
 
-    def request_move(self, cause: str, *, still_served: bool = False) -> None:
+    def request_move(
+        self,
+        cause: str,
+        *,
+        still_served: bool = False,
+        reason: RetryReason = RetryReason.MOVED,
+    ) -> None:
         """Ask the stream to continue on another path, and cancel its pending read.
 
         Ignored if the stream is not movable, or if it is ``still_served`` and has
@@ -119,12 +125,16 @@
         request to leave endpoints that no longer serve the stream is not
         overridden.
         """
-        if not self._movable or (still_served and not self.first_event_seen):
+        if not self._movable:
+            return
+        if reason is RetryReason.MOVED and still_served and not self.first_event_seen:
             return
         if self._move_request is not None and not self._move_request.still_served:
             return
         self.move_requested_at = time.monotonic()
-        self._move_request = MoveRequestedError(cause, still_served=still_served)
+        self._move_request = MoveRequestedError(
+            cause, still_served=still_served, reason=reason
+        )
         if self._scope is not None:
             self._scope.cancel()
 
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -18,6 +18,7 @@
     FAILURE_BACKOFF_S,
     INITIAL_LATENCY_S,
     LOW_MEMORY_FRACTION,
+    PAUSE_LIMIT_S,
     REMOTE_EVENT_DELAY_S,
     WARMUP_S,
     Directory,
@@ -26,6 +27,8 @@
 from hemlockhall_router.process.setting import BoundsSection
 from hemlockhall_router.process.store import Row
 from hemlockhall_router.process.timing import Timing
+from hemlockhall_router.request.active_stream import ActiveStream
+from hemlockhall_router.request.reason import RetryReason
 from hemlockhall_router.version.endpoint import EndpointReport, LayerRange
 from hemlockhall_standins.router.dialect import EndpointRow, StandinDialect
 
@@ -360,7 +363,26 @@
     def test_endpoint_removed_while_down_has_ended(self, directory: Directory) -> None:
         """Guards against streams that are bound to an endpoint that crashed."""
         endpoint = directory.records["p1"].endpoint
+        directory.set_down("p1", down=True, ended=True)
+        directory.apply_rows([Row("p1", b"", 2, True)])
+        assert not directory.may_still_run(endpoint)
+
+    def test_endpoint_removed_while_it_pauses_may_still_run(
+        self, directory: Directory
+    ) -> None:
+        """Guards against too many concurrent attempts while a silent one runs on."""
+        endpoint = directory.records["p1"].endpoint
+        directory.set_down("p1", down=True)
+        directory.apply_rows([Row("p1", b"", 2, True)])
+        assert directory.may_still_run(endpoint)
+
+    def test_endpoint_removed_after_a_long_silence_has_ended(
+        self, directory: Directory
+    ) -> None:
+        """Guards against streams that are bound to a host without power."""
+        endpoint = directory.records["p1"].endpoint
         directory.set_down("p1", down=True)
+        directory.records["p1"].down_changed_at -= PAUSE_LIMIT_S
         directory.apply_rows([Row("p1", b"", 2, True)])
         assert not directory.may_still_run(endpoint)
 
@@ -372,3 +394,57 @@
         assert not directory.may_still_run(endpoint)
         directory.apply_rows([Row("p1", b"", 3, True)])
         assert not directory.may_still_run(endpoint)
+
+
+class TestSilence:
+    """Endpoints that do not answer, of which the process has not ended."""
+
+    def test_one_keeps_its_layers_for_the_length_of_a_pause(
+        self, directory: Directory
+    ) -> None:
+        """Guards against layers that move to other endpoints for a short pause."""
+        endpoint = directory.records["p1"].endpoint
+        directory.set_down("p1", down=True)
+        assert endpoint in directory.live_endpoints("pool")
+        version = directory.version
+        directory.end_pause("p1")
+        assert endpoint not in directory.live_endpoints("pool")
+        assert directory.version > version
+
+    def test_one_that_ended_loses_its_layers_at_once(
+        self, directory: Directory
+    ) -> None:
+        endpoint = directory.records["p1"].endpoint
+        directory.set_down("p1", down=True, ended=True)
+        assert endpoint not in directory.live_endpoints("pool")
+
+    def test_silence_is_no_crash(self, directory: Directory) -> None:
+        """Guards against prompts that are blamed for a pause of an endpoint."""
+        endpoint = directory.records["p1"].endpoint
+        directory.set_down("p1", down=True)
+        directory.end_pause("p1")
+        assert not directory.has_crashed(endpoint)
+        directory.set_down("p1", down=True, ended=True)
+        assert directory.has_crashed(endpoint)
+
+    def test_one_that_ended_stays_so_until_it_answers(
+        self, directory: Directory
+    ) -> None:
+        """Guards against a crash that is forgotten as the machine then is silent."""
+        endpoint = directory.records["p1"].endpoint
+        directory.set_down("p1", down=True, ended=True)
+        directory.set_down("p1", down=True)
+        assert directory.has_crashed(endpoint)
+        directory.set_down("p1", down=False)
+        assert not directory.has_crashed(endpoint)
+
+    def test_streams_may_stay_on_one(self, directory: Directory) -> None:
+        """Guards against streams that leave an endpoint which goes on serving them."""
+        stream = ActiveStream(["p1"], 1.0, movable=True)
+        directory.records["p1"].active_streams.add(stream)
+        directory.set_down("p1", down=True)
+        assert stream._move_request is not None
+        assert stream._move_request.still_served
+        assert stream._move_request.reason is RetryReason.SILENT
+        directory.set_down("p1", down=True, ended=True)
+        assert not stream._move_request.still_served
