Add tests of endpoints that pause while their host shuts down

Endpoints may be silent for a second of the 8 s of a shutdown. What the host had accepted before still ends in time then, so it must neither be cut off nor refused. Streams on resumable and on other routes, and plain requests that may run once, at one and at two endpoints, all of which are silent for 1 s from 1 s after the signal on: all requests get a whole response.

--- a/tests/router/test_shutdown.py
+++ b/tests/router/test_shutdown.py
@@ -41,6 +41,8 @@
     RouteRow(
         "/draft/", "stream", "pool", resumable=True, timeout_s=TIMEOUT_S, pause_s=5.0
     ),
+    RouteRow("/swift/", "stream", "pool", resumable=True, timeout_s=TIMEOUT_S),
+    RouteRow("/single/", "stream", "pool", timeout_s=TIMEOUT_S),
     RouteRow("/nowhere/", "stream", "empty", timeout_s=TIMEOUT_S),
 ]
 # Outcomes of a request.
@@ -257,6 +259,40 @@
         assert not desk.ran
 
 
+class TestPausingEndpoints:
+    @pytest.mark.parametrize("endpoints", [1, 2])
+    @pytest.mark.parametrize("target", ["/swift/", "/single/", "/book/"])
+    async def test_those_that_were_accepted_end_whole(
+        self, target: str, endpoints: int
+    ) -> None:
+        """Guards against a host that cuts off, or refuses, what its endpoints would
+        complete in time, as all of them are silent for a second of the shutdown."""
+        desk = Desk(3.0)
+        row = {**ALL_LAYERS, "accelerator": "unplanned", "slots": 500}
+        async with router_harness(ROUTES) as harness:
+            router = await harness.add_router(grace_s=GRACE_S)
+            harness.ports.reverse()
+            found = []
+            for number in range(endpoints):
+                found.append(
+                    await harness.start_endpoint(f"p{number}", desk.stream, **row)
+                )
+                found.append(
+                    await harness.start_endpoint(f"d{number}", desk.respond, slots=500)
+                )
+            callers = Callers(harness)
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    callers.request_often, target, RATE, time.monotonic() + 1.0
+                )
+                await anyio.sleep(1.2)
+                group.start_soon(router.leave)
+                await anyio.sleep(1.0)
+                for endpoint in found:
+                    endpoint.fall_silent(1.0)
+        assert set(callers.ends.values()) == {200}
+
+
 class TestRetryAfter:
     async def test_it_waits_for_the_hosts_if_most_leave(self) -> None:
         """Guards against callers that come back to hosts that refuse them again."""
