Keep the planning lease after a renewal whose response was lost

As the store paused for longer than the 0.8 s of a call, it could apply a renewal whose response nobody read. The next renewal then met a version that the holder did not know, took its own write for another host's and gave the lease up: queued orders were dropped, and planning went on under a new fence. The row names the host and the run that wrote it. Writes are conditional, so a row of this run that follows the known version shows that no other host held the lease meanwhile; the holder adopts its version and what is left of its time. Another run of the host, a release and an expired row still end the lease.

--- a/packages/router/src/hemlockhall_router/process/lease.py
+++ b/packages/router/src/hemlockhall_router/process/lease.py
@@ -41,7 +41,7 @@
 class LeaseRow(msgspec.Struct):
     """Holder of the lease, and its expiry ``until_s`` by the store's clock.
 
-    ``boot`` identifies the run of the holder's process; it is written but not compared.
+    ``boot`` identifies the run of the holder's process.
     """
 
     holder: str
@@ -105,7 +105,8 @@
         except VersionConflictError as exc:
             self.unreachable_since = None
             self._store_clock = (exc.store_time_s, boottime_s())
-            self.mark_lost("the row has another version")
+            if not self._adopt_own_write(exc):
+                self.mark_lost("the row has another version")
         except _HeldByAnotherError:
             self.unreachable_since = None
         except StoreError as exc:
@@ -132,6 +133,30 @@
             logger.info("lease not released", cause=str(exc))
             self.fence = fence
 
+    def _adopt_own_write(self, conflict: VersionConflictError) -> bool:
+        """Adopt the row if an earlier renewal wrote it, whose response did not come.
+
+        Return whether it did. The row had this holder's version then, so no other host
+        has held the lease since.
+        """
+        row = conflict.row
+        if not self.fence or row is None or row.version <= self._version:
+            return False
+        try:
+            with decoding("row of the lease"):
+                lease_row = msgspec.json.decode(row.value, type=LeaseRow)
+        except DecodeError:
+            return False
+        if (lease_row.holder, lease_row.boot) != (self._name, self._run_id):
+            return False
+        left_s = lease_row.until_s - conflict.store_time_s
+        if not 0 < left_s <= TTL_S:
+            return False
+        self._version = row.version
+        self._deadline = boottime_s() + left_s
+        logger.info("renewal found in the store", fence=self.fence)
+        return True
+
     async def _read(self, deadline: float) -> None:
         result = await self._store.read(Table.LEASE, deadline)
         self._store_clock = (result.store_time_s, boottime_s())
