Drop evidence against a prompt segment that any host serves

Callers' requests were given up after one broken attempt (502, or a cut) at a host that had evidence against a segment of their prompt, for ten minutes, though another host served such requests all the time. Evidence was dropped only by the host that served the segment, and by a release, which only follows a quarantine.

A host that serves a segment with evidence, and one that hears of evidence older than its last served request with the segment, now tells the others the time: a verdict whose three times are equal. The others drop earlier evidence, do not accept it again, and pass that on. Evidence of later crashes counts. It has two places of its own in each message (2 x 37 bytes), so that it keeps no verdict back; it ends no quarantine, which the host that served the segment releases as before, and is not written to the store. No field is added: hosts of an older version decode it, and by their code read it as a release.

--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -169,6 +169,9 @@
     A quarantine rests on crashes since ``since_ms`` and ends at ``expires_at_ms`` of
     the shared clock. A segment that is released has ``expires_at_ms`` equal to
     ``decided_at_ms``. Of two verdicts the one with the higher ``rank`` holds.
+
+    If ``since_ms`` is the same as well, a host served the segment then and knows of no
+    quarantine: earlier evidence does not count.
     """
 
     segment: int
@@ -181,6 +184,11 @@
         """Whether it is a quarantine, which may have ended, and no release."""
         return self.expires_at_ms > self.decided_at_ms
 
+    @property
+    def clears(self) -> bool:
+        """Whether it only ends evidence, and no quarantine."""
+        return self.since_ms == self.decided_at_ms == self.expires_at_ms
+
     @property
     def rank(self) -> tuple[int, bool]:
         """The order of verdicts on a segment: a later one ranks higher."""
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -7,6 +7,7 @@
 from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from heapq import nsmallest
 from math import inf
 from typing import TYPE_CHECKING, Protocol
 
@@ -44,6 +45,8 @@
 MAX_EVIDENCE = 24
 MAX_SERVED = 4096
 MAX_VERDICTS = 64
+# Segments cleared by a host that served them, as known here.
+MAX_CLEARED = 256
 # Segments of one prompt that a crash is evidence against, unproven ones first.
 MAX_PROMPT_SUSPECTS = 32
 # Time for which evidence and verdicts that are new to this host are passed on, and how
@@ -52,6 +55,7 @@
 MAX_NEWS = 256
 MAX_EVIDENCE_SENT = 4
 MAX_VERDICTS_SENT = 2
+MAX_CLEARED_SENT = 2
 # A segment whose quarantine has ended gets one request in each such time, at one host,
 # until an endpoint served one.
 TRIAL_INTERVAL_MS = 10_000
@@ -101,6 +105,15 @@
     trial_slot: int = -1
 
 
+@dataclass(slots=True)
+class _Cleared:
+    """That a host served a segment with evidence, and when this host learned of it."""
+
+    item: SegmentVerdict
+    learned_ms: int
+    sent: int = 0
+
+
 @dataclass(slots=True)
 class CrashCount:
     """Endpoints that broke off one request before it was served, by incarnation.
@@ -159,6 +172,7 @@
         self._served: OrderedDict[int, int] = OrderedDict()
         self._service_served: dict[int, int] = {}
         self._verdicts: OrderedDict[int, _Verdict] = OrderedDict()
+        self._cleared: OrderedDict[int, _Cleared] = OrderedDict()
         # Crashes during which an endpoint was responding to a request: those that only
         # waited there did not cause them.
         self._explained: OrderedDict[int, None] = OrderedDict()
@@ -242,10 +256,12 @@
         for key in segment_keys(request):
             self._served[key] = now_ms
             self._served.move_to_end(key)
-            self._suspects.pop(key, None)
+            suspect = self._suspects.pop(key, None)
             verdict = self._verdicts.get(key)
             if verdict is not None and verdict.item.quarantined:
                 self._release(key, now_ms, "served here")
+            elif suspect is not None:
+                self._clear(key, now_ms)
         while len(self._served) > MAX_SERVED:
             self._served.popitem(last=False)
 
@@ -266,9 +282,16 @@
     ) -> None:
         """Apply what another host knows."""
         for item in evidence:
+            served_ms = self._served.get(item.segment, -1)
+            if served_ms >= item.at_ms:
+                # The host that tells it does not know that.
+                self._clear(item.segment, served_ms)
             self._add(item)
         for item in verdicts:
-            self._apply_verdict(item)
+            if item.clears:
+                self._clear(item.segment, item.decided_at_ms)
+            else:
+                self._apply_verdict(item)
 
     def update(self) -> None:
         """Reach verdicts and forget what is over; called periodically."""
@@ -280,6 +303,9 @@
             del self._suspects[key]
         while self._news and now_ms - self._news[0].learned_ms > NEWS_MS:
             self._news.popleft()
+        for key, cleared in list(self._cleared.items()):
+            if now_ms - cleared.item.decided_at_ms > EVIDENCE_TTL_MS:
+                del self._cleared[key]
         for key in list(self._judged):
             suspect = self._suspects.get(key)
             if suspect is None:
@@ -315,8 +341,12 @@
     def verdicts(self) -> list[SegmentVerdict]:
         """Return the verdicts to tell other hosts now, ``MAX_VERDICTS_SENT`` at most.
 
-        Those that are new come first, the others in turns.
+        Those that are new come first, the others in turns. The segments that were
+        cleared follow, ``MAX_CLEARED_SENT`` at most.
         """
+        return self._verdicts_to_tell() + self._cleared_to_tell()
+
+    def _verdicts_to_tell(self) -> list[SegmentVerdict]:
         if not self._verdicts:
             return []
         now_ms = self._now_ms()
@@ -331,6 +361,19 @@
             found += group[offset:] + group[:offset]
         return found[:MAX_VERDICTS_SENT]
 
+    def _cleared_to_tell(self) -> list[SegmentVerdict]:
+        """Return cleared segments: first those that are new, the least told first."""
+        now_ms = self._now_ms()
+
+        def rank(cleared: _Cleared) -> tuple[bool, int]:
+            return (now_ms - cleared.learned_ms >= NEWS_MS, cleared.sent)
+
+        found = []
+        for cleared in nsmallest(MAX_CLEARED_SENT, self._cleared.values(), key=rank):
+            cleared.sent += 1
+            found.append(cleared.item)
+        return found
+
     def quarantined(self) -> list[SegmentVerdict]:
         """Return the verdicts that hold now."""
         now_ms = self._now_ms()
@@ -381,6 +424,9 @@
             # Another host may not have heard of the release yet.
             if item.at_ms <= verdict.item.decided_at_ms:
                 return
+        cleared = self._cleared.get(item.segment)
+        if cleared is not None and item.at_ms <= cleared.item.decided_at_ms:
+            return
         counts_from_ms = item.at_ms
         if served_ms is not None and item.at_ms - served_ms < SERVED_RECENTLY_MS:
             counts_from_ms += SERVED_WAIT_MS
@@ -478,6 +524,31 @@
         self._set(SegmentVerdict(key, 0, now_ms, now_ms))
         self.on_verdict()
 
+    def _clear(self, key: int, at_ms: int) -> None:
+        """Drop the evidence against a segment that a host served, and pass that on.
+
+        A quarantine is not ended: the host that served the segment releases it.
+        """
+        now_ms = self._now_ms()
+        # The clock of the other host may differ.
+        at_ms = min(at_ms, now_ms)
+        if now_ms - at_ms > EVIDENCE_TTL_MS:
+            return
+        known = self._cleared.get(key)
+        if known is not None and known.item.decided_at_ms >= at_ms:
+            return
+        suspect = self._suspects.get(key)
+        if suspect is not None:
+            for name, entry in list(suspect.evidence.items()):
+                if entry.item.at_ms <= at_ms:
+                    del suspect.evidence[name]
+            if not suspect.evidence:
+                del self._suspects[key]
+        self._cleared[key] = _Cleared(SegmentVerdict(key, at_ms, at_ms, at_ms), now_ms)
+        self._cleared.move_to_end(key)
+        while len(self._cleared) > MAX_CLEARED:
+            self._cleared.popitem(last=False)
+
     def _set(self, item: SegmentVerdict) -> None:
         self._verdicts[item.segment] = _Verdict(item, self._now_ms())
         self._verdicts.move_to_end(item.segment)
