Add tests of hosts that stand still, as the others see them

Hosts divide limits by the number of hosts that may run. While 1 of 2, 2 of 4 and 4 of 28 hosts stand still for 1 and 2 s, and for 3 s after it, that number stays the same at all hosts, and all are heard again 3 s after it.

--- a/tests/router/test_standstill.py
+++ b/tests/router/test_standstill.py
@@ -23,6 +23,7 @@
     event_text,
 )
 from hemlockhall_standins.router.harness import RouterHarness, router_harness
+from hemlockhall_standins.router.network import Network
 from hemlockhall_standins.router.pausing import EVENT_GAP_S, EVENTS, PausingLoad
 from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
 
@@ -30,6 +31,8 @@
 
 STANDSTILL_S = 1.5
 TIMEOUT_S = 0.5
+# Time after which hosts that stood still are in touch again.
+CONTACT_S = 3.0
 # More than one read of the response, and less than the buffers of a loopback socket.
 BODY = b"0123456789" * (READ_BYTES // 10 + 1000)
 ROUTES = [
@@ -277,3 +280,29 @@
             await anyio.sleep(0.5)
             downs = [r.down for r in router.directory.records.values()]
             assert downs == [False] * len(pool.endpoints)
+
+
+class TestPeers:
+    @pytest.mark.parametrize("seconds", [1.0, 2.0])
+    @pytest.mark.parametrize(("hosts", "data_centres"), [(2, 1), (4, 3), (28, 3)])
+    def test_hosts_that_are_silent_count_until_they_go_on(
+        self, hosts: int, data_centres: int, seconds: float
+    ) -> None:
+        """Guards against hosts that divide limits among fewer, as some stand still,
+        and against hosts that stay forgotten after it."""
+        network = Network(hosts, data_centres, seed=hosts)
+        network.run(4.0)
+        live = network.live()
+        frozen = live[:: max(2, hosts // 4)]
+        for host in frozen:
+            host.frozen = True
+        for _ in range(round(seconds / 0.1)):
+            network.run(0.1)
+            assert {host.host_count() for host in live} == {hosts}
+            assert min(host.most_hosts() for host in live) >= hosts
+        for host in frozen:
+            host.frozen = False
+        for _ in range(round(CONTACT_S / 0.1)):
+            network.run(0.1)
+            assert {host.host_count() for host in live} == {hosts}
+        assert {host.hosts() for host in live} == {hosts}
