Add tests of a store that refuses all calls for 1 and 2 s

Streams and requests that may run once are all served whole meanwhile, no endpoint is dropped, and the planner keeps its lease and fence at both hosts.

--- a/tests/router/test_standstill.py
+++ b/tests/router/test_standstill.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -24,7 +25,12 @@
 )
 from hemlockhall_standins.router.harness import RouterHarness, router_harness
 from hemlockhall_standins.router.network import Network
-from hemlockhall_standins.router.pausing import EVENT_GAP_S, EVENTS, PausingLoad
+from hemlockhall_standins.router.pausing import (
+    EVENT_GAP_S,
+    EVENTS,
+    PausingLoad,
+    PausingPool,
+)
 from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
 
 pytestmark = pytest.mark.anyio
@@ -306,3 +312,35 @@
             network.run(0.1)
             assert {host.host_count() for host in live} == {hosts}
         assert {host.hosts() for host in live} == {hosts}
+
+
+class TestStore:
+    @pytest.mark.parametrize("seconds", [1.0, 2.0])
+    @pytest.mark.parametrize("target", ["/draft/", "/book/"])
+    async def test_requests_go_on_while_it_does_not_answer(
+        self, target: str, seconds: float
+    ) -> None:
+        """Guards against requests that are refused or cut, endpoints that are dropped,
+        and a planner that gives its lease up, as the store pauses."""
+        rng = random.Random(5)
+        async with router_harness(ROUTES) as harness:
+            await harness.add_router()
+            pool = PausingPool(harness)
+            await pool.start(3)
+            desk = PausingPool(harness, "desk")
+            await desk.start(3, layers=None)
+            leases = [router.lease for router in harness.routers]
+            await harness.wait_until(lambda: any(lease.held for lease in leases))
+            fences = [lease.fence for lease in leases]
+            load = PausingLoad(harness, target)
+            async with anyio.create_task_group() as group:
+                group.start_soon(load.run, rng, 12.0, 4.0, ["story"])
+                await anyio.sleep(1.0)
+                harness.store.down = True
+                await anyio.sleep(seconds)
+                harness.store.down = False
+            await anyio.sleep(3.0)
+            assert load.count("whole") == len(load.outcomes)
+            assert [lease.fence for lease in leases] == fences
+            for router in harness.routers:
+                assert len(router.directory.records) == 6
