Race a second attempt beside a silent stream in place of leaving it

Callers saw streams broken off in the middle, and requests refused, as an endpoint that was sound fell silent for a second or so.

Cause: a stream whose endpoint did not answer a probe in time closed its connection at once and had to be sent again, which needs a path, a retry and no evidence against its prompt. One without an event or a head in time waited with its old connection unread until the next path had accepted it.

A silent stream now stays connected and is read on. Beside it runs a second attempt, if a path, the route's limit of endpoints, the retry budget and the quarantine allow one; otherwise the stream looks again every 0.1 s. The first of the two that has an event which the caller lacks goes on and the other is closed; each has its own buffer, so no event holds bytes of two runs. If one fails, the other goes on. This needs reads of the head that may be cancelled and called again, so that sending and reading are separate in Attempt. A dead connection is replaced at the same endpoint once it has timed out, also beside the old one. Moves off draining endpoints are as before, but take no retry while a verdict against the prompt is in force.

Second attempts that fail count toward the crashes of a request like others; a request that was served since is not held back by them.

A permit is given back also if the attempt is cancelled before it is sent.

--- a/packages/router/src/hemlockhall_router/request/active_stream.py
+++ b/packages/router/src/hemlockhall_router/request/active_stream.py
@@ -121,16 +121,21 @@
         """Ask the stream to continue on another path, and cancel its pending read.
 
         Ignored if the stream is not movable, or if it is ``still_served`` and has
-        no event yet: it then loses nothing by waiting for its first event. A
-        request to leave endpoints that no longer serve the stream is not
-        overridden.
+        no event yet, unless its endpoints are silent: it then loses nothing by waiting
+        for its first event. A request to leave endpoints that no longer serve the
+        stream is not overridden, nor one to leave silent endpoints by a weaker one.
         """
+        silent = reason is RetryReason.SILENT
         if not self._movable:
             return
-        if reason is RetryReason.MOVED and still_served and not self.first_event_seen:
+        if still_served and not silent and not self.first_event_seen:
             return
-        if self._move_request is not None and not self._move_request.still_served:
+        pending = self._move_request
+        if pending is not None and not pending.still_served:
             return
+        if pending is not None and pending.reason is RetryReason.SILENT:
+            if still_served:
+                return
         self.move_requested_at = time.monotonic()
         self._move_request = MoveRequestedError(
             cause, still_served=still_served, reason=reason
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -4,7 +4,7 @@
 
 import time
 from contextlib import contextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from hemlockhall_router.connection.error import (
     NotSentError,
@@ -29,25 +29,35 @@
 from hemlockhall_router.version.endpoint import EndpointStatement
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Awaitable, Callable, Iterator
 
     from hemlockhall_router.connection.client import ClientConnection
     from hemlockhall_router.connection.message import ResponseHead
     from hemlockhall_router.request.events import Event
     from hemlockhall_router.request.timeouts import StreamTimeouts
     from hemlockhall_router.version.path import Path
+
+T = TypeVar("T")
+
 # Time after its first event from which an endpoint is known not to crash under a
 # request.
 SERVED_AFTER_S = 0.1
+# A read that ends this close to the deadline of the request ended with it.
+DEADLINE_SLACK_S = 0.001
 
 
 class Attempt:
     """An attempt of a stream, from sending the request to the last event.
 
-    Its creator must call ``close``, which makes the endpoints stop work on it.
-    ``rejected_for_room`` is true if an endpoint rejected it for want of room, and
-    ``responded`` if the head of a response to it arrived. ``served`` is true once its
-    first event arrived and the endpoint did not crash soon after.
+    Its creator must call ``close``, which makes the endpoints stop work on it. Reads
+    may be cancelled and called again: nothing that was received is lost.
+
+    ``sent`` is true once the request was written, or part of it. ``silent`` is true
+    while its endpoints do not answer or send nothing in time, ``timed_out`` in the
+    latter case; bytes of the response end both. ``rejected_for_room`` is true if an
+    endpoint rejected it for want of room, and ``responded`` if the head of a response
+    to it arrived. ``served`` is true once its first event arrived and the endpoint did
+    not crash soon after.
     """
 
     def __init__(
@@ -63,6 +73,11 @@
         self._splitter = EventSplitter()
         self._conn: ClientConnection | None = None
         self._sent_at = 0.0
+        self._deadline: float | None = None
+        self._skipping = False
+        self.sent = False
+        self.silent = False
+        self.timed_out = False
         self.path = path
         self.head: ResponseHead | None = None
         self.rejected_for_room = False
@@ -91,6 +106,14 @@
     async def start(self, resume_after: bytes | None) -> None:
         """Send the request, and wait for the head of the response.
 
+        Raises what ``send`` and ``next_events`` raise.
+        """
+        await self.send(resume_after)
+        await self._receive_head()
+
+    async def send(self, resume_after: bytes | None) -> None:
+        """Send the request.
+
         Parameters
         ----------
         resume_after : bytes or None
@@ -101,9 +124,7 @@
         AttemptFailedError
             If this host has no permit for the endpoint, or one on the path asked for
             rest or leaves, or a segment of the prompt is in quarantine, or the endpoint
-            cannot be reached, refuses, fails, or sends no head in time.
-        MoveRequestedError
-            If the stream was asked to move meanwhile.
+            cannot be reached.
         """
         limits, statements = self._context.limits, self._context.statements
         permit = limits.try_acquire(self.path.first_endpoint)
@@ -117,7 +138,7 @@
             # the prompt may have been found to crash endpoints.
             statements.check_send(self.path.endpoints)
             check_quarantine(self._request, self._context)
-        except AttemptFailedError:
+        except BaseException:
             limits.give_back(permit)
             raise
         self._in_flight.start()
@@ -131,47 +152,32 @@
             priority=self._context.admission.sent_priority(self._request),
         )
         self._sent_at = time.monotonic()
+        self.sent = True
         record_send(self._request, self._context, self.path.endpoints)
         with self._translate_errors():
             assert self._conn is not None
             await self._conn.send(data, self._request.deadline)
-            head = await self._read_head()
-        self._check_head(head)
-        self.head = head
 
     async def next_events(self) -> list[Event] | None:
         """Return the next complete events, or None at the end of the stream.
 
-        The list is empty if the bytes received complete no event.
+        The head of the response is read before the first of them. The list is empty if
+        the bytes received complete no event.
 
         Raises
         ------
         AttemptFailedError
-            If the connection broke, the stream ended inside an event, or the
-            request's deadline passed without an event.
+            If the endpoint refuses or fails, the connection broke, the stream ended
+            inside an event, or the request's deadline passed without an event.
         MoveRequestedError
-            If the stream was asked to move, or no event came in time before that
+            If the stream was asked to move, or nothing came in time before that
             deadline.
         """
+        await self._receive_head()
         assert self._conn is not None
-        timeouts = self._timeouts
-        if self.active_stream.first_event_seen:
-            deadline = timeouts.next_event_deadline()
-        else:
-            deadline = timeouts.first_event_deadline()
         with self._translate_errors():
-            try:
-                data = await self.active_stream.wait(self._conn.read_chunk, deadline)
-            except ReadTimeoutError as exc:
-                if self._request.remaining_s <= 0:
-                    raise
-                # The path may be dead or merely slow. Try another path before
-                # leaving this one: a slow path may soon have the next event.
-                self._context.prober.request_probes(self.endpoint_ids)
-                self._timeouts.back_off()
-                raise MoveRequestedError(
-                    str(exc), still_served=True, reason=RetryReason.SILENT
-                ) from exc
+            data = await self._wait(self._conn.read_chunk)
+        self._record_progress()
         if data is not None:
             return self._splitter.feed(data)
         if self._splitter.partial:
@@ -237,12 +243,25 @@
                 self.path, request.service.model, request.token_estimate
             )
 
+    async def _receive_head(self) -> None:
+        if self.head is not None:
+            return
+        with self._translate_errors():
+            head = await self._read_head()
+        self._record_progress()
+        self._check_head(head)
+        self.head = head
+
     async def _read_head(self) -> ResponseHead:
         assert self._conn is not None
         name = self._context.dialect.headers.request_id
         while True:
-            deadline = self._timeouts.first_event_deadline()
-            head = await self.active_stream.wait(self._conn.read_head, deadline)
+            if self._skipping:
+                # A late response to an earlier request on this connection.
+                while await self._wait(self._conn.read_chunk) is not None:
+                    continue
+                self._skipping = False
+            head = await self._wait(self._conn.read_head)
             echoed = head.header(name)
             if echoed is None or echoed == self._request.id:
                 self.responded = True
@@ -250,9 +269,40 @@
                     self.path.first_endpoint, head
                 )
                 return head
-            # Skip a late response to an earlier request on this connection.
-            while await self._conn.read_chunk(deadline) is not None:
-                continue
+            self._skipping = True
+
+    async def _wait(self, read: Callable[[float], Awaitable[T]]) -> T:
+        """Await a read from the endpoint.
+
+        The time for it counts from the last progress, over all calls.
+        """
+        if self._deadline is None:
+            if self.active_stream.first_event_seen:
+                self._deadline = self._timeouts.next_event_deadline()
+            else:
+                self._deadline = self._timeouts.first_event_deadline()
+        try:
+            return await self.active_stream.wait(read, self._deadline)
+        except MoveRequestedError as exc:
+            self.silent = self.silent or exc.reason is RetryReason.SILENT
+            raise
+        except ReadTimeoutError as exc:
+            if self._request.remaining_s <= DEADLINE_SLACK_S:
+                raise
+            # The path may be dead or merely slow. Try another path before
+            # leaving this one: a slow path may soon have the next event.
+            self._context.prober.request_probes(self.endpoint_ids)
+            self._timeouts.back_off()
+            self._deadline = None
+            self.silent = self.timed_out = True
+            raise MoveRequestedError(
+                str(exc), still_served=True, reason=RetryReason.SILENT
+            ) from exc
+
+    def _record_progress(self) -> None:
+        """Record that bytes of the response arrived."""
+        self._deadline = None
+        self.silent = self.timed_out = False
 
     @contextmanager
     def _translate_errors(self) -> Iterator[None]:
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -16,6 +16,7 @@
 from hemlockhall_router.request.active_stream import MoveRequestedError
 from hemlockhall_router.request.attempt import Attempt
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
+from hemlockhall_router.request.hedge import next_undelivered, race
 from hemlockhall_router.request.plain import (
     RETRY_AFTER_FULL_S,
     RETRY_AFTER_NO_ENDPOINT_S,
@@ -76,6 +77,11 @@
 # given up at this limit: one attempt per EXTRA_ATTEMPT_INTERVAL_S follows.
 MAX_ATTEMPTS = 12
 EXTRA_ATTEMPT_INTERVAL_S = 0.5
+# Time between two searches for a path beside a silent one, and time after a second
+# attempt that failed, doubled after each further one.
+HEDGE_POLL_INTERVAL_S = 0.1
+HEDGE_RETRY_INTERVAL_S = 0.5
+MAX_HEDGE_RETRY_INTERVAL_S = 4.0
 
 
 class StreamRelay:
@@ -111,6 +117,9 @@
         self._crashed = False
         self._last_failure = ""
         self._executed_at: dict[str, Endpoint] = {}
+        # No second attempt beside a silent one begins before this monotonic time.
+        self._next_hedge_at = 0.0
+        self._hedge_interval_s = HEDGE_RETRY_INTERVAL_S
         self._times = StreamTimes()
 
     async def run(self) -> None:
@@ -147,40 +156,42 @@
 
     async def _run_attempt(self) -> None:
         assert self._attempt is not None
-        try:
-            await self._attempt.start(self._last_id)
-        except MoveRequestedError as exc:
-            raise AttemptFailedError(
-                RetryReason.MOVED, str(exc), may_have_run=True
-            ) from exc
+        await self._attempt.send(self._last_id)
+        events: list[Event] | None = []
         while True:
             try:
-                await self._forward_events(self._attempt)
+                await self._forward_events(self._attempt, events)
                 return
             except MoveRequestedError as exc:
+                events = []
                 if not exc.still_served:
                     raise AttemptFailedError(
                         RetryReason.MOVED, str(exc), may_have_run=True
                     ) from exc
-                await self._move(exc)
+                if exc.reason is RetryReason.SILENT:
+                    events = await self._wait_out_silence(str(exc))
+                else:
+                    await self._move(exc)
 
-    async def _forward_events(self, attempt: Attempt) -> None:
-        """Forward events to the caller until the stream is complete."""
+    async def _forward_events(
+        self, attempt: Attempt, events: list[Event] | None
+    ) -> None:
+        """Forward events to the caller until the stream is complete.
+
+        ``events`` were received already; None if the stream is complete.
+        """
         writer = self._writer
-        while True:
-            events = await attempt.next_events()
-            if events is None:
-                break
+        while events is not None:
             events = self._drop_delivered(events)
-            if not events:
-                continue
-            attempt.record_event()
-            self._times.record_event(len(events))
-            if not writer.started:
-                assert attempt.head is not None
-                await writer.start_stream(attempt.head)
-            await writer.send_events(b"".join(event.raw for event in events))
-            self._last_id = events[-1].id or self._last_id
+            if events:
+                attempt.record_event()
+                self._times.record_event(len(events))
+                if not writer.started:
+                    assert attempt.head is not None
+                    await writer.start_stream(attempt.head)
+                await writer.send_events(b"".join(event.raw for event in events))
+                self._last_id = events[-1].id or self._last_id
+            events = await attempt.next_events()
         if not writer.started:
             raise AttemptFailedError(
                 RetryReason.BROKEN,
@@ -199,23 +210,13 @@
         left them first and no other path had memory for it, it would be lost, which is
         likely when all streams of an endpoint move at once. Events that the old
         attempt sends meanwhile are not read, so that the two never mix.
-
-        Raises
-        ------
-        AttemptFailedError
-            If the stream is silent, no other path takes it, and the retry budget
-            allows a retry.
         """
         old = self._attempt
         assert old is not None
-        excluded = self._excluded_ids
-        if move_request.reason is RetryReason.SILENT:
-            excluded = excluded.union(old.endpoint_ids)
-        path = self._choose_path(excluded, None)
+        path = self._choose_path(self._excluded_ids, None)
         if path is None or path.first_endpoint.id == old.path.first_endpoint.id:
-            self._abandon_silent(move_request)
             return
-        if not self._may_add_endpoint(old.path) or not self._acquire_retry():
+        if not self._may_add_endpoint(old.path) or not self._may_send_second():
             return
         self._attempts_sent += 1
         new = Attempt(self._request, self._context, path, self._timeouts)
@@ -229,23 +230,146 @@
         except (AttemptFailedError, TimeoutError, MoveRequestedError) as exc:
             if not isinstance(exc, AttemptFailedError) or exc.may_have_run:
                 self._record_execution(new)
-            self._context.metrics.count_retry(RetryReason.STAYED)
-            self._log_failure(new, RetryReason.STAYED, str(exc) or "no answer in time")
+            self._record_stay(new, str(exc) or "no answer in time")
         finally:
             await (old if self._attempt is new else new).close()
 
-    def _abandon_silent(self, move_request: MoveRequestedError) -> None:
-        """Raise ``AttemptFailedError`` for a silent stream that no other path takes.
+    async def _wait_out_silence(self, cause: str) -> list[Event] | None:
+        """Read on, with a second attempt beside the silent one if one may be sent.
+
+        A sound endpoint may fall silent for a while, so the stream leaves it only for a
+        path that has an event. Returns the next events of the attempt that goes on;
+        None if it is complete, and an empty list if it is to be read as usual.
 
-        A retry at the same endpoint shows whether only the connection is dead. If
-        the retry budget is exhausted, or the stream is not silent, it waits on.
+        Raises
+        ------
+        AttemptFailedError
+            If no attempt is left, or the deadline of the request passed.
         """
-        if move_request.reason is not RetryReason.SILENT or not self._acquire_retry():
-            return
-        self._retry_acquired = True
-        raise AttemptFailedError(
-            RetryReason.SILENT, str(move_request), may_have_run=True
-        ) from move_request
+        while True:
+            attempt = self._attempt
+            assert attempt is not None
+            if not attempt.silent:
+                return []
+            path = self._choose_second_path(attempt)
+            if path is not None and self._may_send_second():
+                events = await self._hedge(attempt, path, cause)
+                if events != []:
+                    return events
+                continue
+            with anyio.move_on_after(HEDGE_POLL_INTERVAL_S):
+                return await next_undelivered(
+                    attempt, self._drop_delivered, started=self._writer.started
+                )
+
+    async def _hedge(self, old: Attempt, path: Path, cause: str) -> list[Event] | None:
+        """Race an attempt on ``path`` with a silent one; return the winner's events.
+
+        The list is empty if there is no winner, and the attempt that did not fail goes
+        on.
+
+        Raises
+        ------
+        AttemptFailedError
+            If both failed.
+        """
+        self._attempts_sent += 1
+        new = Attempt(self._request, self._context, path, self._timeouts)
+        try:
+            outcome = await race(
+                old,
+                new,
+                self._last_id,
+                self._drop_delivered,
+                started=self._writer.started,
+            )
+            old_failure = outcome.failures.get(old)
+            new_failure = outcome.failures.get(new)
+            if new_failure is not None:
+                self._record_failed_hedge(new, new_failure)
+            elif outcome.winner is old:
+                self._record_lost_hedge(new)
+            if outcome.winner is old:
+                return outcome.events
+            if old_failure is not None and new_failure is not None:
+                raise old_failure
+            if new_failure is not None:
+                return []
+            self._attempt = new
+            if old_failure is None:
+                old_failure = AttemptFailedError(
+                    RetryReason.SILENT, cause, may_have_run=True
+                )
+            self._record_failure(old, old_failure)
+            return outcome.events
+        finally:
+            await (old if self._attempt is new else new).close()
+
+    def _record_failed_hedge(self, new: Attempt, exc: AttemptFailedError) -> None:
+        """Record a second attempt that failed; the next one waits."""
+        self._excluded_ids.update(exc.suspects)
+        if exc.reason in WITHHELD_REASONS:
+            self._retry_acquired = True
+        if exc.may_have_run:
+            self._record_run(new, exc.reason)
+        self._record_stay(new, str(exc))
+        self._next_hedge_at = time.monotonic() + self._hedge_interval_s
+        self._hedge_interval_s = min(
+            MAX_HEDGE_RETRY_INTERVAL_S, self._hedge_interval_s * 2
+        )
+
+    def _record_lost_hedge(self, new: Attempt) -> None:
+        """Record a second attempt that is ended as the silent one goes on."""
+        if new.sent:
+            self._record_execution(new)
+        else:
+            self._retry_acquired = True
+        self._record_stay(new, "the silent path went on")
+
+    def _record_stay(self, attempt: Attempt, cause: str) -> None:
+        self._context.metrics.count_retry(RetryReason.STAYED)
+        self._log_failure(attempt, RetryReason.STAYED, cause)
+
+    def _choose_second_path(self, old: Attempt) -> Path | None:
+        """Return a path for a second attempt beside a silent one, or None.
+
+        It leaves out all endpoints of the silent path, else one of them. One that sent
+        nothing for so long that it timed out is tried again if nothing else is left:
+        only the connection may be dead.
+        """
+        request = self._request
+        if not request.route.retryable or time.monotonic() < self._next_hedge_at:
+            return None
+        if not self._may_resend or request.remaining_s <= 0:
+            return None
+        if self._writer.started:
+            if self._last_id is None:
+                # The second attempt would begin with events that the caller has.
+                return None
+        elif self._attempts_sent >= MAX_ATTEMPTS:
+            return None
+        silent_ids = set(old.endpoint_ids)
+        first_ids = self._allowed_first_endpoints(old)
+        path = self._choose_path(self._excluded_ids | silent_ids, first_ids)
+        if path is None and len(silent_ids) > 1:
+            path = self._choose_path(self._excluded_ids, first_ids)
+            if path is not None:
+                if silent_ids <= {stage.endpoint.id for stage in path.stages}:
+                    path = None
+        if path is None and old.timed_out:
+            path = self._choose_path(set(), first_ids)
+        return path
+
+    def _may_send_second(self) -> bool:
+        """Take a retry for an attempt beside the present one, if it may be sent."""
+        if self._context.quarantine.refusal(self._request) is not None:
+            return False
+        if not self._retry_acquired:
+            reserve = self._retry_reserve()
+            if not acquire_retry(self._request, self._context, reserve):
+                return False
+        self._retry_acquired = False
+        return True
 
     async def _wait_for_retry(self) -> bool:
         """Take a retry from the budget; return whether there was one.
@@ -261,9 +385,6 @@
             await anyio.sleep(POLL_INTERVAL_S)
         return True
 
-    def _acquire_retry(self) -> bool:
-        return acquire_retry(self._request, self._context, 0.0)
-
     def _retry_reserve(self) -> float | None:
         """Return the fraction of the budget to leave; None if no retry may follow."""
         if self._writer.started:
@@ -303,34 +424,52 @@
         """Record a failed attempt; return whether a retry may follow."""
         request, attempt = self._request, self._attempt
         assert attempt is not None
-        self._context.metrics.count_retry(exc.reason)
-        self._log_failure(attempt, exc.reason, str(exc))
-        self._last_failure = f"{exc.reason.value}: {exc}"
-        self._excluded_ids.update(exc.suspects)
-        if exc.reason not in WITHHELD_REASONS:
-            self._rejected_for_room = attempt.rejected_for_room
+        self._record_failure(attempt, exc)
         if exc.reason not in UNSENT_REASONS:
             self._attempts_sent += 1
         elif exc.reason in WITHHELD_REASONS and self._attempts_sent:
             # Nothing was sent, so the retry that was taken is used by the next attempt.
             self._retry_acquired = True
         if exc.may_have_run:
-            self._may_have_run = True
-            self._record_execution(attempt)
             if self._context.quarantine.refusal(request) is not None:
-                # This host may have ended the attempt itself.
                 return False
-            if self._record_crash(attempt, exc.reason):
-                quarantine = self._context.quarantine
-                self._crashed = not quarantine.may_repeat(request, self._crashes)
-            return request.route.retryable and not self._crashed
-        if exc.reason is RetryReason.QUARANTINED:
+            return request.route.retryable and self._may_resend
+        if exc.reason is RetryReason.QUARANTINED or not self._may_resend:
             return False
-        self._had_unexecuted_attempt = True
         if self._rejected_for_room and self._room_wait_expired():
             return False
         return self._retry_reserve() is not None
 
+    def _record_failure(self, attempt: Attempt, exc: AttemptFailedError) -> None:
+        """Record an attempt that failed, or that another one replaced."""
+        self._context.metrics.count_retry(exc.reason)
+        self._log_failure(attempt, exc.reason, str(exc))
+        self._last_failure = f"{exc.reason.value}: {exc}"
+        self._excluded_ids.update(exc.suspects)
+        if exc.reason not in WITHHELD_REASONS:
+            self._rejected_for_room = attempt.rejected_for_room
+        if exc.may_have_run:
+            self._record_run(attempt, exc.reason)
+        elif exc.reason is not RetryReason.QUARANTINED:
+            self._had_unexecuted_attempt = True
+
+    def _record_run(self, attempt: Attempt, reason: RetryReason) -> None:
+        """Record a failed attempt that may have run, and whether it was a crash."""
+        self._may_have_run = True
+        self._record_execution(attempt)
+        quarantine = self._context.quarantine
+        if quarantine.refusal(self._request) is not None:
+            # This host may have ended the attempt itself.
+            return
+        if self._record_crash(attempt, reason):
+            if not quarantine.may_repeat(self._request, self._crashes):
+                self._crashed = True
+
+    @property
+    def _may_resend(self) -> bool:
+        """Whether the crashes under the request allow another attempt."""
+        return self._served or not self._crashed
+
     def _record_crash(self, attempt: Attempt, reason: RetryReason) -> bool:
         """Record a broken attempt; return whether an endpoint seems to have crashed.
 
@@ -501,15 +640,22 @@
             > self._timeouts.latency_objective_s * CAPACITY_WAIT_FACTOR
         )
 
-    def _allowed_first_endpoints(self) -> frozenset[str] | None:
+    def _allowed_first_endpoints(
+        self, active: Attempt | None = None
+    ) -> frozenset[str] | None:
         """Return the ids of the only endpoints that may receive the request.
 
         None means that any may. The route limits at how many endpoints a request
-        runs; the first endpoint of a path counts. When that many may still run it,
-        it continues only at one of them, with other endpoints after it on the path.
+        runs; the first endpoint of a path counts, also that of the ``active`` attempt.
+        When that many may still run it, it continues only at one of them, with other
+        endpoints after it on the path.
         """
+        executed_at = dict(self._executed_at)
+        if active is not None:
+            first = active.path.first_endpoint
+            executed_at[first.id] = first
         active_ids = []
-        for endpoint_id, endpoint in self._executed_at.items():
+        for endpoint_id, endpoint in executed_at.items():
             if self._context.directory.may_still_run(endpoint):
                 active_ids.append(endpoint_id)
         if len(active_ids) < self._request.route.max_attempts:
