Test a second attempt past one silent endpoint of a longer path

A stream whose second endpoint falls silent keeps its first one and is sent over another with the same layers, also where its route allows one endpoint.

--- a/tests/router/test_hedge.py
+++ b/tests/router/test_hedge.py
@@ -260,6 +260,26 @@
             first.may_go_on.set()
         assert stream.bodies == [ALL_EVENTS]
 
+    async def test_path_with_one_other_endpoint_is_tried(self) -> None:
+        """Guards against a stream that waits for a silent endpoint behind its first
+        one, though another has the same layers."""
+        first = FirstEndpoint(2, say_nothing)
+        front, back = {**ROW, "layers": (0, 4)}, {**ROW, "layers": (4, 8)}
+        async with router_harness([route(tries=1)]) as harness:
+            endpoint = await harness.start_endpoint("p1", first.handle, **front)
+            await harness.start_endpoint("p2", say_nothing, **back)
+            async with anyio.create_task_group() as group:
+                stream = SilentStream(harness, endpoint, group)
+                group.start_soon(stream.request)
+                await first.silent.wait()
+                await anyio.sleep(0.02)
+                await harness.start_endpoint("p3", say_nothing, **back)
+                records = harness.routers[0].directory.records
+                records["p2"].backoff_deadline = float("inf")
+                stream.report_silence()
+            assert stream.bodies == [ALL_EVENTS]
+            assert endpoint.received[1].header("path") == "p1:0-4 p3:4-8"
+
     async def test_both_are_closed_once_the_caller_leaves(self) -> None:
         """Guards against endpoints at work for a caller that has left."""
         async with router_harness([route()]) as harness:
