Bound the bytes that are read of a response without an end

A server may send bytes that are no answer until its connection is closed: header fields, one value, interim responses, empty lines, chunk extensions, zeros of a chunk size, trailers, a body. Only the body of a plain response had a bound, of each connection by itself.

Heads with all that comes before them, and framing with hardly a byte of the body, are now given up at 64 KiB, counted by read; header fields and interim responses count 128 bytes besides their text, as that is what they occupy. Late responses that are skipped have 1 MiB (skip_response), and eight may follow a request. Trailers are dropped: they were added to the fields of the head, where a trailer could say that a request was not executed. All raise ProtocolError.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -12,6 +12,8 @@
 import httptools
 from anyio.abc import SocketAttribute
 
+from hemlockhall_router.connection.body import ENDPOINT_BODIES
+from hemlockhall_router.connection.decoding import decode_number
 from hemlockhall_router.connection.error import (
     ConnectionLostError,
     ConnectRefusedError,
@@ -29,8 +31,25 @@
 # Most responses of services without streaming fit in one read.
 READ_BYTES = 65_536
 # Responses without streaming are buffered whole; the limit keeps a server from
-# exhausting the memory of this host.
+# exhausting the memory of this host. It counts late responses before them too.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Of the late responses that ``skip_response`` reads before that to the request.
+MAX_SKIPPED_BYTES = 1024 * 1024
+# Of a head and all that comes before it: empty lines and interim responses.
+MAX_HEAD_BYTES = 65_536
+# What a header field counts besides its name and value: the objects that hold it. An
+# interim response counts the same besides its fields.
+FIELD_OVERHEAD_BYTES = 128
+# Bytes of chunk sizes, chunk extensions and trailers that may come with no byte of the
+# body; each byte of the body allows for more of them, up to that.
+MAX_FRAMING_BYTES = 65_536
+FRAMING_BYTES_PER_BODY_BYTE = 16
+# Chunks of one read that are kept apart; more are joined, as each is an object.
+MAX_SEPARATE_CHUNKS = 64
+# Responses that arrived before they are read.
+MAX_QUEUED_RESPONSES = 4
+# Final responses that are read after one request.
+MAX_RESPONSES_PER_REQUEST = 8
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -56,8 +75,14 @@
         self.parser = httptools.HttpResponseParser(self)
         self.responses: deque[_ParsedResponse] = deque()
         self._current = _ParsedResponse()
+        self._field_bytes_left = MAX_HEAD_BYTES
 
     def on_message_begin(self) -> None:
+        if len(self.responses) >= MAX_QUEUED_RESPONSES:
+            raise ProtocolError("too many responses to one request")
+        self._field_bytes_left -= FIELD_OVERHEAD_BYTES
+        if self._field_bytes_left < 0:
+            raise ProtocolError("interim responses are too many")
         self._current = _ParsedResponse()
         self.responses.append(self._current)
 
@@ -65,7 +90,12 @@
         self._current.reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._current.headers.append((name, value))
+        self._field_bytes_left -= len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        if self._field_bytes_left < 0:
+            raise ProtocolError("header fields or trailers are too large")
+        # Trailers are dropped: they are no part of the head.
+        if self._current.head is None:
+            self._current.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         response = self._current
@@ -75,12 +105,20 @@
             response.headers,
             self.parser.should_keep_alive(),
         )
+        if response.head.status >= 200:
+            # The trailers have as much.
+            self._field_bytes_left = MAX_HEAD_BYTES
 
     def on_body(self, body: bytes) -> None:
         self._current.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        self._current.complete = True
+        response = self._current
+        response.complete = True
+        if response.head is not None and response.head.status < 200:
+            self.responses.pop()
+        else:
+            self._field_bytes_left = MAX_HEAD_BYTES
 
 
 class ClientConnection:
@@ -88,7 +126,11 @@
 
     ``reusable`` is true between two requests, unless the server closes the connection
     or the next response could not be told apart from the last one. It is not used after
-    ``idle_deadline``, which its pool sets. Deadlines are monotonic times.
+    ``idle_deadline``, which its pool sets. Bodies of more than one read take their
+    memory from ``body_budget``. Deadlines are monotonic times.
+
+    Whatever the server sends, the bytes that are read without any use are bounded: a
+    ``ProtocolError`` says that a limit is exceeded, and the connection must be closed.
     """
 
     def __init__(self, stream: SocketStream) -> None:
@@ -99,6 +141,12 @@
         self._no_body = False
         self._closed = False
         self._parse_failed = False
+        self._head_bytes = 0
+        self._heads_read = 0
+        self._framing_bytes_left = MAX_FRAMING_BYTES
+        # Of the bodies of responses since the request was sent.
+        self._skipped_bytes = 0
+        self.body_budget = ENDPOINT_BODIES
         self.reusable = True
         self.idle_deadline = float("inf")
 
@@ -131,6 +179,7 @@
             If it was not sent completely; it may have run.
         """
         self._current = None
+        self._head_bytes = self._heads_read = self._skipped_bytes = 0
         self.reusable = False
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
@@ -153,19 +202,27 @@
             If the connection failed; its subclass ``ReadTimeoutError`` if nothing was
             received before ``deadline``.
         ProtocolError
-            If the server did not send a valid HTTP response.
+            If the server did not send a valid HTTP response, or a head or what comes
+            before it exceeds ``MAX_HEAD_BYTES``.
         """
         self.reusable = False
+        self._heads_read += 1
+        if self._heads_read > MAX_RESPONSES_PER_REQUEST:
+            raise ProtocolError("too many responses to one request")
         responses = self._collector.responses
         while True:
             while not responses or responses[0].head is None:
-                await self._read(deadline)
+                if self._head_bytes > MAX_HEAD_BYTES:
+                    raise ProtocolError(f"the head exceeds {MAX_HEAD_BYTES} bytes")
+                self._head_bytes += await self._read(deadline)
             response = responses.popleft()
             assert response.head is not None
             if response.head.status >= 200:
                 break
         head = response.head
         self._current = response
+        self._head_bytes = 0
+        self._framing_bytes_left = MAX_FRAMING_BYTES
         self._no_body = no_body or head.status in NO_BODY_STATUSES
         framed = head.header(b"content-length") is not None
         chunked = head.header(b"transfer-encoding") is not None
@@ -181,16 +238,23 @@
             If the connection failed; its subclass ``ReadTimeoutError`` if nothing was
             received before ``deadline``.
         ProtocolError
-            If the server did not send a valid HTTP response.
+            If the server did not send a valid HTTP response, or more than
+            ``MAX_FRAMING_BYTES`` of it with hardly a byte of the body.
         """
         response = self._current
         while response is not None:
-            if response.chunks:
-                return response.chunks.popleft()
+            chunks = response.chunks
+            if len(chunks) > MAX_SEPARATE_CHUNKS:
+                response.chunks = deque((b"".join(chunks),))
+                continue
+            if chunks:
+                return chunks.popleft()
             if response.complete or self._no_body:
                 break
             try:
-                await self._read(deadline)
+                size = await self._read(deadline)
+                if not response.complete:
+                    self._count_framing(size, sum(map(len, chunks)))
             except _EndOfStreamError:
                 if not self._reads_until_close:
                     raise ConnectionLostError(
@@ -201,7 +265,11 @@
         return None
 
     async def read_response(
-        self, deadline: float, *, no_body: bool = False
+        self,
+        deadline: float,
+        *,
+        no_body: bool = False,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> Response:
         """Return a response with its complete body.
 
@@ -210,19 +278,56 @@
         ConnectionLostError
             As in ``read_chunk``.
         ProtocolError
-            If the body exceeds ``MAX_BODY_BYTES`` or is not valid HTTP.
+            If the bodies since the request was sent exceed ``max_body_bytes``, if the
+            bodies on all connections exceed the budget, or if it is not valid HTTP.
         """
         head = await self.read_head(deadline, no_body=no_body)
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await self.read_chunk(deadline)
-            if part is None:
-                return Response(head, b"".join(parts))
-            size += len(part)
-            if size > MAX_BODY_BYTES:
-                raise ProtocolError(f"the body exceeds {MAX_BODY_BYTES} bytes")
-            parts.append(part)
+        max_body_bytes -= self._skipped_bytes
+        length = decode_number(head.header(b"content-length") or b"")
+        if length is not None and length > max_body_bytes and not self._no_body:
+            raise ProtocolError(f"the body exceeds {max_body_bytes} bytes")
+        body = await self.read_chunk(deadline)
+        if body is None:
+            return Response(head)
+        part = await self.read_chunk(deadline)
+        if part is None and len(body) <= max_body_bytes:
+            self._skipped_bytes += len(body)
+            return Response(head, body)
+        buffer = self.body_budget.open(max_body_bytes)
+        try:
+            buffer.append(body)
+            while part is not None:
+                buffer.append(part)
+                part = await self.read_chunk(deadline)
+            response = Response(head, buffer.complete(), buffer)
+        except BaseException:
+            buffer.close()
+            raise
+        self._skipped_bytes += buffer.size
+        return response
+
+    async def skip_response(self, deadline: float) -> None:
+        """Read the rest of a response to another request.
+
+        Raises as ``read_chunk``, and ``ProtocolError`` if such responses since the
+        request was sent exceed ``MAX_SKIPPED_BYTES``.
+        """
+        while (part := await self.read_chunk(deadline)) is not None:
+            self._skipped_bytes += len(part)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise ProtocolError(
+                    f"responses to other requests exceed {MAX_SKIPPED_BYTES} bytes"
+                )
+
+    def _count_framing(self, size: int, body_size: int) -> None:
+        """Count a read; raise ``ProtocolError`` if too little of it was body."""
+        allowed = min(
+            MAX_FRAMING_BYTES,
+            self._framing_bytes_left + body_size * FRAMING_BYTES_PER_BODY_BYTE,
+        )
+        self._framing_bytes_left = allowed - (size - body_size)
+        if self._framing_bytes_left < 0:
+            raise ProtocolError("chunk sizes, extensions or trailers are too large")
 
     def _finish(self) -> None:
         response, self._current = self._current, None
@@ -236,7 +341,8 @@
             exact and kept and not self._reads_until_close and not self._parse_failed
         )
 
-    async def _read(self, deadline: float) -> None:
+    async def _read(self, deadline: float) -> int:
+        """Read and parse bytes; return their number."""
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
                 data = await self._stream.receive(READ_BYTES)
@@ -261,8 +367,12 @@
                 else self._current
             )
             if last is not None and last.complete:
-                return
+                return len(data)
+            # An error of a callback is its context.
+            if isinstance(exc.__context__, ProtocolError):
+                raise exc.__context__ from None
             raise ProtocolError(f"not an HTTP response: {exc}") from exc
+        return len(data)
 
     def is_usable(self) -> bool:
         """Return whether another request may be sent.
--- a/packages/router/src/hemlockhall_router/connection/message.py
+++ b/packages/router/src/hemlockhall_router/connection/message.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hemlockhall_router.connection.body import BodyBuffer
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -93,10 +97,14 @@
 
 @dataclass(slots=True)
 class Response:
-    """A response with its complete body."""
+    """A response with its complete body.
+
+    ``buffer`` holds the body's part of a memory budget as long as the response exists.
+    """
 
     head: ResponseHead
     body: bytes = field(default=b"", repr=False)
+    buffer: BodyBuffer | None = field(default=None, repr=False, compare=False)
 
 
 def encode_request(
