Bound the framing of callers' requests, and drop their trailers

The body of a request had a bound, its framing had none: trailers were kept until the deadline, chunk sizes and extensions read at full speed. Trailers were also added to the header fields after the head was checked, so that a second Host reached the endpoint. A body in small chunks was kept as one object a chunk.

Framing with hardly a byte of the body gets 400 after 256 KiB, trailers are dropped, fields over the limit of a head are not kept, and a body is one buffer.

--- a/packages/router/src/hemlockhall_router/connection/caller.py
+++ b/packages/router/src/hemlockhall_router/connection/caller.py
@@ -22,6 +22,11 @@
 # Bytes buffered while a request is served: enough for a few pipelined requests, few
 # enough for thousands of connections.
 MAX_PIPELINED_BYTES = 65_536
+# Bytes of chunk sizes, chunk extensions and trailers that may come with no byte of the
+# body; each byte of the body allows for one more of them, up to that.
+MAX_FRAMING_BYTES = 262_144
+# What a header field counts besides its name and value: its colon, space and line end.
+FIELD_OVERHEAD_BYTES = 4
 # Closing a socket with unread bytes resets the connection, and the reset can reach
 # the caller before the response: the rest of a refused request is read for this long.
 LINGERING_CLOSE_S = 0.5
@@ -48,18 +53,23 @@
     headers: Headers = field(default_factory=list)
     target: bytes = b""
     head: RequestHead | None = None
-    body: list[bytes] = field(default_factory=list)
-    body_size: int = 0
+    # Of the target and the header fields, in bytes.
+    head_size: int = 0
+    body: bytearray = field(default_factory=bytearray)
     complete: bool = False
 
 
 class _RequestCollector:
-    """Collects the callbacks of httptools; requests may be pipelined."""
+    """Collects the callbacks of httptools; requests may be pipelined.
+
+    Of a head that exceeds ``header_bytes`` the first fields are kept.
+    """
 
     def __init__(self) -> None:
         self.parser = httptools.HttpRequestParser(self)
         self.requests: deque[_ParsedRequest] = deque()
         self._current = _ParsedRequest()
+        self.header_bytes = 0
 
     def on_message_begin(self) -> None:
         self._current = _ParsedRequest()
@@ -67,9 +77,16 @@
 
     def on_url(self, part: bytes) -> None:
         self._current.target += part
+        self._current.head_size += len(part)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._current.headers.append((name, value))
+        request = self._current
+        # Trailers are dropped: they are no part of the head, which was checked.
+        if request.head is not None:
+            return
+        request.head_size += len(name) + len(value) + FIELD_OVERHEAD_BYTES
+        if request.head_size <= self.header_bytes:
+            request.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         request = self._current
@@ -81,8 +98,7 @@
         )
 
     def on_body(self, part: bytes) -> None:
-        self._current.body.append(part)
-        self._current.body_size += len(part)
+        self._current.body += part
 
     def on_message_complete(self) -> None:
         self._current.complete = True
@@ -173,7 +189,7 @@
             done = request is not None and request.head is not None
             if not done and self._head_bytes > self.limits.header_bytes:
                 raise CallerError(431, "the head is too large")
-            if done and _head_size(request) > self.limits.header_bytes:
+            if done and request.head_size > self.limits.header_bytes:
                 raise CallerError(431, "the head is too large")
 
     async def read_body(self, deadline: float) -> bytes:
@@ -182,20 +198,32 @@
         Raises
         ------
         CallerError
-            If the body is invalid, too large or not complete before ``deadline``.
+            If the body is invalid, too large or not complete before ``deadline``, or
+            more than ``MAX_FRAMING_BYTES`` come with hardly a byte of it.
         """
         request = self._collector.requests[0]
+        framing_bytes_left = MAX_FRAMING_BYTES
         while True:
-            if request.body_size > self.limits.body_bytes:
+            if len(request.body) > self.limits.body_bytes:
                 raise CallerError(413, "the body is too large")
             if request.complete:
-                return b"".join(request.body)
+                return bytes(request.body)
+            if framing_bytes_left < 0:
+                raise CallerError(400, "the chunks or trailers are too large")
             if self._parse_error is not None:
                 raise self._parse_error
             try:
-                self._feed(await self._receive(deadline))
+                data = await self._receive(deadline)
             except TimeoutError:
                 raise CallerError(408, "the body took too long") from None
+            size = len(request.body)
+            self._feed(data)
+            size = len(request.body) - size
+            framing_bytes_left = min(
+                MAX_FRAMING_BYTES,
+                framing_bytes_left + size,
+            )
+            framing_bytes_left -= len(data) - size
 
     def finish_request(self) -> None:
         """Drop the answered request; parse pipelined bytes if no other is buffered."""
@@ -268,6 +296,7 @@
             raise CallerDisconnectedError from exc
 
     def _feed(self, data: bytes) -> None:
+        self._collector.header_bytes = self.limits.header_bytes
         try:
             self._collector.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -280,15 +309,6 @@
             self._parse_error = CallerError(400, "not a valid HTTP request")
 
 
-def _head_size(request: _ParsedRequest | None) -> int:
-    if request is None:
-        return 0
-    size = len(request.target)
-    for key, value in request.headers:
-        size += len(key) + len(value) + 4
-    return size
-
-
 __all__ = [
     "CallerLimits",
     "CallerReader",
--- a/tests/router/test_caller.py
+++ b/tests/router/test_caller.py
@@ -15,6 +15,7 @@
 
 ROUTES = [RouteRow("/read/", "idempotent", "desk", timeout_s=1.0)]
 READ = b"GET /read/x HTTP/1.1\r\nHost: hall.example\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 async def respond(received: ReceivedRequest) -> None:
@@ -101,3 +102,63 @@
                 for _ in range(50):
                     group.start_soon(send_slowly)
             assert statuses == [408] * 50
+
+
+class TestEndlessRequests:
+    @pytest.mark.parametrize(
+        ("start", "repeated", "status"),
+        [
+            (READ, b"name: value\r\n", 431),
+            (READ, b"a:\r\n", 431),
+            (READ + b"name: ", b"v", 431),
+            (READ + CHUNKED, b"0", 400),
+            (READ + CHUNKED + b"1;", b"x", 400),
+            (READ + CHUNKED + b"0\r\n", b"name: value\r\n", 400),
+            (READ + CHUNKED + b"0\r\nname: ", b"v", 400),
+            (READ + CHUNKED, b"2\r\nab\r\n", 400),
+            (READ + CHUNKED, b"1000\r\n" + b"x" * 4096 + b"\r\n", 413),
+        ],
+    )
+    async def test_one_is_refused_at_the_limit(
+        self, start: bytes, repeated: bytes, status: int
+    ) -> None:
+        """Guards against trailers that fill the memory, and against chunk sizes and
+        extensions that are read at full speed until the deadline."""
+        async with router_harness(ROUTES) as harness:
+            endpoint = await harness.start_endpoint("d1", respond)
+            conn = await harness.connect()
+            deadline = time.monotonic() + 20
+            await conn.send(start, deadline)
+            piece = repeated * max(1, 32_768 // len(repeated))
+            sent = 0
+            async with anyio.create_task_group() as group:
+
+                async def send() -> None:
+                    nonlocal sent
+                    while True:
+                        await conn._stream.send(piece)
+                        sent += len(piece)
+
+                group.start_soon(send)
+                response = await conn.read_response(deadline)
+                at_response = sent
+                group.cancel_scope.cancel()
+            await conn.close()
+            assert response.head.status == status
+            # The limits and what is in the buffers of the sockets.
+            assert at_response <= 6_000_000
+            assert not endpoint.received
+
+    async def test_trailers_are_not_forwarded(self) -> None:
+        """Guards against header fields after the head was checked: a second host, or
+        the customer of another key."""
+        async with router_harness(ROUTES) as harness:
+            endpoint = await harness.start_endpoint("d1", respond)
+            read = READ + b"Request-Id: r1\r\n"
+            text = b"1\r\na\r\n0\r\nHost: other.example\r\nX-Else: y\r\n\r\n"
+            assert await status_of(harness, read + CHUNKED + text) == 200
+            head = endpoint.received[0].head
+            assert head.header(b"x-else") is None
+            hosts = [value for key, value in head.headers if key.lower() == b"host"]
+            assert hosts == [b"hall.example"]
+            assert endpoint.received[0].body == b"a"
