Bound what an accepted connection of another host may announce

Each could announce 16 MiB, which were buffered until the deadline, and hundreds at once. An accepted connection receives requests for rows only: 4 KiB, compressed and decompressed. One that asks still receives 16 MiB.

--- a/packages/router/src/hemlockhall_router/connection/link.py
+++ b/packages/router/src/hemlockhall_router/connection/link.py
@@ -22,6 +22,8 @@
 # Larger than any table that is transferred; bounds a message both compressed and
 # decompressed.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+# Of a request for rows, which is all that an accepted connection receives.
+MAX_FETCH_BYTES = 4096
 # zlib's fastest level. Configurations compress to a tenth; the network connection of
 # a host may have 10 Mbit/s.
 COMPRESSION_LEVEL = 1
@@ -66,10 +68,14 @@
 
 
 class Link:
-    """A connection between two hosts; deadlines are monotonic times."""
+    """A connection between two hosts; deadlines are monotonic times.
 
-    def __init__(self, stream: SocketStream) -> None:
+    It receives messages of ``max_bytes``, both compressed and decompressed.
+    """
+
+    def __init__(self, stream: SocketStream, max_bytes: int = MAX_FETCH_BYTES) -> None:
         self._stream = stream
+        self._max_bytes = max_bytes
         self._buffer = bytearray()
 
     @classmethod
@@ -77,7 +83,8 @@
         """Connect before ``deadline`` or raise ``LinkError``."""
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
-                return cls(await anyio.connect_tcp(host, port))
+                stream = await anyio.connect_tcp(host, port)
+                return cls(stream, MAX_MESSAGE_BYTES)
         except OSError as exc:
             raise LinkError(f"{host}:{port}: {exc}") from exc
 
@@ -95,12 +102,12 @@
         """Return the next message, or raise ``LinkError``."""
         body = await self._read_exactly(LENGTH_BYTES, deadline)
         length = int.from_bytes(body, "big")
-        if length > MAX_MESSAGE_BYTES:
+        if length > self._max_bytes:
             raise LinkError(
-                f"a message of {length} bytes exceeds the limit of {MAX_MESSAGE_BYTES}"
+                f"a message of {length} bytes exceeds the limit of {self._max_bytes}"
             )
         data = await self._read_exactly(length, deadline)
-        return decode(data)
+        return decode(data, self._max_bytes)
 
     async def _read_exactly(self, count: int, deadline: float) -> bytes:
         while len(self._buffer) < count:
@@ -140,21 +147,24 @@
             await anyio.aclose_forcefully(self._stream)
 
 
-def decode(data: bytes) -> Message:
-    """Return the message in compressed bytes; raise ``LinkError`` if there is none."""
+def decode(data: bytes, max_bytes: int = MAX_MESSAGE_BYTES) -> Message:
+    """Return the message in compressed bytes; raise ``LinkError`` if there is none.
+
+    That is so too if it exceeds ``max_bytes`` decompressed.
+    """
     try:
         with decoding("message"):
-            return _decoder.decode(_decompress(data))
+            return _decoder.decode(_decompress(data, max_bytes))
     except DecodeError as exc:
         raise LinkError(str(exc)) from exc
 
 
-def _decompress(data: bytes) -> bytes:
+def _decompress(data: bytes, max_bytes: int) -> bytes:
     decompressor = zlib.decompressobj()
-    body = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    body = decompressor.decompress(data, max_bytes)
     if decompressor.unconsumed_tail or not decompressor.eof:
         raise LinkError(
-            f"a message exceeds {MAX_MESSAGE_BYTES} bytes decompressed or is truncated"
+            f"a message exceeds {max_bytes} bytes decompressed or is truncated"
         )
     return body
 
