--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,7 +14,7 @@
 import pytest
 from anyio.abc import SocketAttribute, SocketStream
 
-from hemlockhall_platform.store import PlatformStore
+from hemlockhall_platform.store import MAX_RESPONSE_BYTES, PlatformStore
 from hemlockhall_router.connection.caller import CallerLimits, CallerReader
 from hemlockhall_router.process.store import (
     HistoryCompactedError,
@@ -24,6 +24,13 @@
     Table,
     VersionConflictError,
 )
+from hemlockhall_standins.router.endless import (
+    BODIES,
+    FRAMINGS,
+    HEADS,
+    SOCKET_BYTES,
+    EndlessResponse,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -155,3 +162,33 @@
         store = PlatformStore("127.0.0.1:1")
         with pytest.raises(StoreRefusedError):
             await store.write(Table.LEASE, "k", b"me", 0, deadline())
+
+
+class TestEndlessResponses:
+    @pytest.mark.parametrize(
+        "case", ["header fields", "trailers", "body until the end of the connection"]
+    )
+    async def test_one_is_given_up_at_the_limit(self, case: str) -> None:
+        """Guards against a store whose response fills the memory. A write may have
+        been applied."""
+        server = EndlessResponse(*{**HEADS, **FRAMINGS, **BODIES}[case])
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, server.serve)
+            store = PlatformStore(f"127.0.0.1:{port}")
+            with pytest.raises(StoreNoAnswerError) as raised:
+                await store.write(Table.LEASE, "planner", b"v", 0, deadline())
+            assert not isinstance(raised.value, StoreTimeoutError)
+            with anyio.fail_after(10):
+                while server.open:
+                    await anyio.sleep(0.005)
+            group.cancel_scope.cancel()
+        assert server.sent[0] <= MAX_RESPONSE_BYTES + SOCKET_BYTES
+
+    async def test_the_largest_page_is_read(self) -> None:
+        rows = [row(f"k{n}", b"v" * 12_000, n + 1) for n in range(500)]
+        response = {"rows": rows, "ver": 500, "nowMs": 1, "hasMore": False}
+        async with scripted_store((200, response)) as (store, _):
+            result = await store.read(Table.ENDPOINTS, deadline())
+            assert len(result.rows) == 500
