--- a/packages/standins/src/hemlockhall_standins/router/endless.py
+++ b/packages/standins/src/hemlockhall_standins/router/endless.py
@@ -77,13 +77,14 @@
     """Sends ``start`` and then ``repeated`` until the connection is closed.
 
     ``sent`` has the bytes of each connection that were sent until then, and ``open``
-    counts the connections that are not closed.
+    counts the connections that are not closed. Nothing is sent before ``may_begin``.
     """
 
     start: bytes
     repeated: bytes
     sent: list[int] = field(default_factory=list)
     open: int = 0
+    may_begin: anyio.Event | None = None
 
     async def __call__(self, request: ReceivedRequest) -> None:
         """Respond to a request, as the handler of an endpoint."""
@@ -106,6 +107,8 @@
         self.open += 1
         data = self.start
         try:
+            if self.may_begin is not None:
+                await self.may_begin.wait()
             while True:
                 await stream.send(data)
                 self.sent[index] += len(data)
