--- a/tests/router/test_endless.py
+++ b/tests/router/test_endless.py
@@ -16,9 +16,10 @@
     FRAMINGS,
     HEADS,
     SOCKET_BYTES,
+    STREAMS,
     EndlessResponse,
 )
-from hemlockhall_standins.router.endpoint import ReceivedRequest
+from hemlockhall_standins.router.endpoint import ReceivedRequest, event_text
 from hemlockhall_standins.router.harness import caller_text, router_harness
 
 pytestmark = pytest.mark.anyio
@@ -30,13 +31,23 @@
 ROUTES = [
     RouteRow("/read/", "idempotent", "desk"),
     RouteRow("/book/", "once", "desk"),
+    RouteRow("/draft/", "stream", "pool", resumable=True, timeout_s=8.0),
 ]
+ALL_LAYERS = {"service": "pool", "layers": (0, 8), "accelerator": "big"}
+ALL_EVENTS = b"".join(event_text(number) for number in range(1, 5))
 
 
 async def respond(request: ReceivedRequest) -> None:
     await request.answer(200, b"sound")
 
 
+async def send_remaining_events(request: ReceivedRequest) -> None:
+    await request.begin()
+    for number in range(int(request.header("resume-after") or 0) + 1, 5):
+        await request.event(number)
+    await request.end()
+
+
 def resident_bytes() -> int:
     pages = int(Path("/proc/self/statm").read_text().split()[1])
     return pages * os.sysconf("SC_PAGESIZE")
@@ -69,6 +80,31 @@
             assert sent <= SOCKET_BYTES
 
 
+class TestStreams:
+    @pytest.mark.parametrize("case", STREAMS)
+    async def test_one_goes_on_elsewhere(self, case: str) -> None:
+        """Guards against a stream that waits at such an endpoint until its deadline,
+        and against bytes of an event that has no end."""
+        endless = EndlessResponse(*STREAMS[case])
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("p1", endless, **ALL_LAYERS)
+            bodies = []
+
+            async def send_request() -> None:
+                bodies.append((await harness.request("/draft/x", method="POST")).body)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(send_request)
+                await harness.wait_until(lambda: endless.sent)
+                await harness.start_endpoint("p2", send_remaining_events, **ALL_LAYERS)
+            await harness.wait_until(lambda: not endless.open)
+        body = bodies[0].replace(b": still here\n\n", b"")
+        if case == "events with falling numbers":
+            assert body == event_text(9)
+        else:
+            assert body == ALL_EVENTS
+
+
 class TestManyAtOnce:
     async def test_memory_is_bounded_and_others_are_served(self) -> None:
         """Guards against hundreds of such responses at once that fill the memory of a
