Bound late responses before a stream, and events that arrive in drips

Callers' streams were held by an endpoint whose late response to an earlier request has no end: it was read at full speed until the deadline. An event that comes a byte at a time extended the time for itself with each byte. Late responses are now read by skip_response, which has a limit, the limits of events count as a broken response, and only complete events count as progress.

--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -54,7 +54,7 @@
 
     ``sent`` is true once the request was written, or part of it. ``silent`` is true
     while its endpoints do not answer or send nothing in time, ``timed_out`` in the
-    latter case; bytes of the response end both. ``rejected_for_room`` is true if an
+    latter case; the head of the response and events end both. ``rejected_for_room`` is true if an
     endpoint rejected it for want of room, and ``responded`` if the head of a response
     to it arrived. ``served`` is true once its first event arrived and the endpoint did
     not crash soon after.
@@ -177,9 +177,12 @@
         assert self._conn is not None
         with self._translate_errors():
             data = await self._wait(self._conn.read_chunk)
-        self._record_progress()
-        if data is not None:
-            return self._splitter.feed(data)
+            if data is not None:
+                events = self._splitter.feed(data)
+                if events:
+                    # Bytes that complete no event do not extend the time for one.
+                    self._record_progress()
+                return events
         if self._splitter.partial:
             raise AttemptFailedError(
                 RetryReason.BROKEN,
@@ -258,8 +261,7 @@
         while True:
             if self._skipping:
                 # A late response to an earlier request on this connection.
-                while await self._wait(self._conn.read_chunk) is not None:
-                    continue
+                await self._wait(self._conn.skip_response)
                 self._skipping = False
             head = await self._wait(self._conn.read_head)
             echoed = head.header(name)
@@ -300,7 +302,7 @@
             ) from exc
 
     def _record_progress(self) -> None:
-        """Record that bytes of the response arrived."""
+        """Record that the head of the response or an event arrived."""
         self._deadline = None
         self.silent = self.timed_out = False
 
