--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -33,6 +33,8 @@
 PROBE_TIMEOUT_S = 0.035
 # The same where no stream waits: for orders, or for an endpoint already down.
 RELAXED_PROBE_TIMEOUT_S = 0.4
+# Largest response of an endpoint's control API. Reports have less than 1 KiB.
+MAX_CALL_RESPONSE_BYTES = 65_536
 # Time between two probes of an endpoint by one host. It is multiplied by the number of
 # hosts in this data centre over HOSTS_PER_PROBE_INTERVAL, if that is above 1: all hosts
 # probe, each probe is billed, and an endpoint answers about a hundred a second.
@@ -304,7 +306,9 @@
             data = encode_request(call.method, call.target, headers, call.body)
             self._statements.record_call(endpoint)
             await conn.send(data, deadline)
-            response = await conn.read_response(deadline)
+            response = await conn.read_response(
+                deadline, max_body_bytes=MAX_CALL_RESPONSE_BYTES
+            )
         finally:
             await conn.close()
         self._statements.record_response(endpoint, response.head)
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -54,10 +54,10 @@
 
     ``sent`` is true once the request was written, or part of it. ``silent`` is true
     while its endpoints do not answer or send nothing in time, ``timed_out`` in the
-    latter case; the head of the response and events end both. ``rejected_for_room`` is true if an
-    endpoint rejected it for want of room, and ``responded`` if the head of a response
-    to it arrived. ``served`` is true once its first event arrived and the endpoint did
-    not crash soon after.
+    latter case; the head of the response and events end both. ``rejected_for_room`` is
+    true if an endpoint rejected it for want of room, and ``responded`` if the head of a
+    response to it arrived. ``served`` is true once its first event arrived and the
+    endpoint did not crash soon after.
     """
 
     def __init__(
