Read what lies in the socket buffer although the deadline has passed

What callers saw: a response that had arrived while their host stood still for a second was given up as silence. A read that began after its deadline had a time of 0 and was cancelled before it looked at the buffer. Such a read now has 1 ms, 20 ms in a row at most, so that a sender without end is not read without end.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -33,6 +33,10 @@
 # Responses without streaming are buffered whole; the limit keeps a server from
 # exhausting the memory of this host. It counts late responses before them too.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Time that a read has after its deadline, and time in which such reads may follow each
+# other: this host may have stood still while the bytes arrived.
+LATE_READ_S = 0.001
+MAX_LATE_S = 0.02
 # Of the late responses that ``skip_response`` reads before that to the request.
 MAX_SKIPPED_BYTES = 1024 * 1024
 # Of a head and all that comes before it: empty lines and interim responses.
@@ -143,6 +147,7 @@
         self._head_bytes = 0
         self._heads_read = 0
         self._framing_bytes_left = MAX_FRAMING_BYTES
+        self._late_deadline = float("inf")
         # Of the bodies of responses since the request was sent.
         self._skipped_bytes = 0
         self.body_budget = ENDPOINT_BODIES
@@ -343,7 +348,7 @@
     async def _read(self, deadline: float) -> int:
         """Read and parse bytes; return their number."""
         try:
-            with anyio.fail_after(max(0.0, deadline - time.monotonic())):
+            with anyio.fail_after(self._read_timeout_s(deadline)):
                 data = await self._stream.receive(READ_BYTES)
         except TimeoutError as exc:
             raise ReadTimeoutError("nothing received before the deadline") from exc
@@ -373,6 +378,15 @@
             raise ProtocolError(f"not an HTTP response: {exc}") from exc
         return len(data)
 
+    def _read_timeout_s(self, deadline: float) -> float:
+        """Return the time for a read, which is short but not 0 after its deadline."""
+        now = time.monotonic()
+        if now < deadline:
+            self._late_deadline = float("inf")
+            return deadline - now
+        self._late_deadline = min(self._late_deadline, now + MAX_LATE_S)
+        return max(0.0, min(LATE_READ_S, self._late_deadline - now))
+
     def is_usable(self) -> bool:
         """Return whether another request may be sent.
 
