Use endpoints that pause if no other is left

What callers saw: while all endpoints of a service paused, new requests were refused, although the endpoints went on a second later.

Cause: an endpoint without an answer to a probe took no new requests at once, and its room was gone while its requests stayed in flight.

Now a second choice follows if the first one finds nothing, over those that answer and those that pause. A pausing endpoint on a path costs more than any path without one, so a path has as few of them as possible. Permits, excluded endpoints and rests hold as before; ended, dark, leaving and replaced ones are left out. A backoff does not count there, as the silence may have begun it. The second choice is made only if an endpoint of the service pauses, so a choice that finds something costs as before. `pausing=False` is for streams that leave a silent path.

--- a/packages/router/src/hemlockhall_router/policy/room.py
+++ b/packages/router/src/hemlockhall_router/policy/room.py
@@ -143,11 +143,14 @@
 def _may_work(record: EndpointRecord, now: float) -> bool:
     """Return whether an endpoint works on requests.
 
-    One that is in backoff after a rejection, and not after a failure, is full: what it
-    works on is a part of the room.
+    One that pauses goes on with what it has, so it is a part of the room. One that is
+    in backoff after a rejection, and not after a failure, is full: what it works on is
+    a part of the room, too.
     """
-    if record.down or record.replaced or record.leaving(now):
+    if record.replaced or record.leaving(now):
         return False
+    if record.down:
+        return record.pausing(now)
     return record.failures == 0 or now >= record.backoff_deadline
 
 
--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from dataclasses import replace
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -46,6 +47,9 @@
 # Cost factor of an endpoint whose entry lapsed. It may have left, so it is used only
 # if the others are far slower or full.
 LAPSED_ENTRY_FACTOR = 5.0
+# Cost of each pausing endpoint on a path, in milliseconds per token: above that of any
+# path without one.
+PAUSING_MS = 1e9
 
 
 class Chooser:
@@ -97,9 +101,12 @@
         by_rate: bool = False,
         objective_s: float = 0.0,
         remaining_s: float = inf,
+        pausing: bool = True,
     ) -> EndpointRecord | None:
         """Return the usable endpoint with the least expected wait, or None.
 
+        If there is none, it is a pausing one.
+
         Parameters
         ----------
         service : str
@@ -113,6 +120,8 @@
             Latency objective, 0 for none.
         remaining_s : float
             Time until the request's deadline.
+        pausing : bool
+            Whether endpoints that pause may be chosen.
 
         Raises
         ------
@@ -137,6 +146,10 @@
                 without_permit.append(record.endpoint)
                 continue
             candidates.append(record)
+        if not candidates and pausing:
+            record = _least_wait(self._pausing_candidates(service, excluded))
+            if record is not None:
+                return record
         if not candidates and without_permit:
             raise NoPermitError(without_permit)
         if not candidates and resting:
@@ -158,9 +171,11 @@
         tokens: int = 0,
         *,
         resumed: bool = False,
+        pausing: bool = True,
     ) -> Path | None:
         """Return the cheapest path for a generating request, or None.
 
+        If endpoints that answer form no path, it has as few pausing ones as possible.
         It is None if there is no path, or if a search over all endpoints found none
         within the last ``NO_PATH_BACKOFF_S``.
 
@@ -176,6 +191,8 @@
             Tokens of the request, prompt and output.
         resumed : bool
             Whether the caller has events of the stream.
+        pausing : bool
+            Whether endpoints that pause may be used.
 
         Raises
         ------
@@ -211,10 +228,14 @@
         path = self._find(
             service, model, excluded, tokens, first_endpoint_ids, not_first_ids
         )
+        if path is None and pausing:
+            path = self._find_pausing(
+                service, model, excluded, tokens, first_endpoint_ids, resumed=resumed
+            )
         if path is None and without_permit:
             path = self._find(service, model, excluded, tokens, first_endpoint_ids, ())
             if path is not None:
-                if unrestricted:
+                if unrestricted and pausing:
                     self._no_permit_deadlines[cache_key] = now + NO_PATH_BACKOFF_S
                 self._path_found_at[service.name] = now
                 raise NoPermitError(without_permit)
@@ -223,14 +244,14 @@
                 service, model, others, tokens, first_endpoint_ids, resting
             )
             if possible_at is not None:
-                if unrestricted:
+                if unrestricted and pausing:
                     until = min(possible_at, now + NO_PATH_BACKOFF_S)
                     self._rest_deadlines[service.name] = (until, possible_at)
                 self._path_found_at[service.name] = now
                 raise EndpointsRestingError(resting, possible_at)
         if path is not None:
             self._path_found_at[service.name] = now
-        elif unrestricted:
+        elif unrestricted and pausing:
             self._no_path_deadlines[service.name] = now + NO_PATH_BACKOFF_S
         return path
 
@@ -288,15 +309,20 @@
         allowed_ids: frozenset[str] | None,
         *,
         resumed: bool,
+        pausing: bool = False,
     ) -> list[Endpoint]:
         """Return the endpoints that only the lack of a permit keeps from being first.
 
-        ``allowed_ids`` are the only endpoints that may be first, if given.
+        ``allowed_ids`` are the only endpoints that may be first, if given. With
+        ``pausing``, they include endpoints that pause.
         """
         if not self._limits.active:
             return []
         found = []
-        for record in self._directory.usable(service):
+        records = self._directory.usable(service)
+        if pausing:
+            records += self._directory.pausing(service)
+        for record in records:
             endpoint = record.endpoint
             if endpoint.layers is None or endpoint.layers.first > 0:
                 continue
@@ -308,6 +334,51 @@
                 found.append(endpoint)
         return found
 
+    def _pausing_candidates(
+        self, service: str, excluded: set[str]
+    ) -> list[EndpointRecord]:
+        """Return the pausing endpoints that a request may wait at."""
+        found = []
+        for record in self._directory.pausing(service):
+            endpoint = record.endpoint
+            if endpoint.id in excluded or self._statements.send_at(endpoint):
+                continue
+            if self._limits.may_send(endpoint):
+                found.append(record)
+        return found
+
+    def _find_pausing(
+        self,
+        service: Service,
+        model: Model,
+        excluded: set[str],
+        tokens: int,
+        first_endpoint_ids: frozenset[str] | None,
+        *,
+        resumed: bool,
+    ) -> Path | None:
+        """Return a path with as few pausing endpoints as possible, or None."""
+        pausing_ids = set()
+        for record in self._directory.pausing(service.name):
+            if not self._statements.send_at(record.endpoint):
+                pausing_ids.add(record.endpoint.id)
+        pausing_ids -= excluded
+        if not pausing_ids:
+            return None
+        without_permit = self._first_endpoints_without_permit(
+            service.name, excluded, first_endpoint_ids, resumed=resumed, pausing=True
+        )
+        return self._search(
+            service,
+            model,
+            self._directory.replica_index.records(service.name),
+            excluded,
+            tokens,
+            first_endpoint_ids,
+            {endpoint.id for endpoint in without_permit},
+            pausing_ids,
+        )
+
     def seconds_since_path_found(self, service: str) -> float:
         """Return the seconds since a path of a service was last found.
 
@@ -347,7 +418,9 @@
         tokens: int,
         first_endpoint_ids: frozenset[str] | None,
         not_first_ids: Collection[str],
+        pausing_ids: Collection[str] = (),
     ) -> Path | None:
+        """Return the cheapest path over candidates, and pausing ones if given."""
         # The transfer of a prompt's activations delays its processing.
         link_ms = MIN_CROSS_DATA_CENTRE_MS + PREFILL_WEIGHT * 1000 * transfer_s(
             model, tokens
@@ -358,11 +431,14 @@
         now = time.monotonic()
         endpoints = []
         for record in candidates:
-            if record.endpoint.id in excluded or not record.usable(now):
+            endpoint_id = record.endpoint.id
+            pausing = endpoint_id in pausing_ids
+            if endpoint_id in excluded or not (pausing or record.usable(now)):
                 continue
-            costs[record.endpoint.id] = _endpoint_cost(
-                record, model, service.slots, tokens, host_count
-            )
+            cost = _endpoint_cost(record, model, service.slots, tokens, host_count)
+            if pausing:
+                cost = replace(cost, stage_ms=cost.stage_ms + PAUSING_MS)
+            costs[endpoint_id] = cost
             endpoints.append(record.endpoint)
         return find_path(
             model,
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -505,6 +505,20 @@
                 found.append(record)
         return found
 
+    def pausing(self, service: str) -> list[EndpointRecord]:
+        """Return the endpoints of a service to use if no other is left.
+
+        They pause, and neither leave nor were replaced. A backoff does not count, as
+        the silence may have begun it.
+        """
+        now = time.monotonic()
+        found = []
+        for record in self.replica_index.records(service):
+            if not record.pausing(now) or record.replaced or record.leaving(now):
+                continue
+            found.append(record)
+        return found
+
     def live_endpoints(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that are up, or pause, and do not leave."""
         now = time.monotonic()
