Keep a plain request connected to a silent endpoint

What callers saw: 502 or 503 for idempotent requests while endpoints paused.

Cause: after 0.4 s without a response the connection was closed. With no other endpoint or an empty retry budget the request was given up then, although its endpoint went on later.

Now an attempt runs in a task of its own. If it is silent, another one begins where the route and the budget allow, at an endpoint that answers as far as is known; the first whole response is relayed and the other connections are closed. If none may begin, the request waits until its deadline. Each attempt that runs beside another one takes a retry from the budget and counts for maxAttempts. A request that is not idempotent is sent once. Silence is evidence only if the endpoint is known to have ended; a reset counts as broken off at any time. An endpoint that is silent while it answers probes is still left out for a while after another one has served the request.

--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import time
+from math import inf
 from typing import TYPE_CHECKING
 
+import anyio
 from loguru import logger
 
 from hemlockhall_router.connection.client import ClientConnection
 from hemlockhall_router.connection.error import (
     ConnectionLostError,
     NotSentError,
+    ReadTimeoutError,
     TransportError,
 )
 from hemlockhall_router.policy.endpoint_rate import NoRoomError
@@ -20,6 +23,7 @@
 from hemlockhall_router.process.statement import EndpointsRestingError
 from hemlockhall_router.request.events import ends_inside_event
 from hemlockhall_router.request.failure import AttemptFailedError, decode_value
+from hemlockhall_router.request.race import AttemptRace
 from hemlockhall_router.request.reason import (
     CRASH_REASONS,
     UNSENT_REASONS,
@@ -37,18 +41,18 @@
     record_send,
     reserve_for_retry,
 )
-from hemlockhall_router.version.endpoint import EndpointStatement
 
 if TYPE_CHECKING:
     from hemlockhall_router.connection.message import Response
     from hemlockhall_router.process.directory import EndpointRecord
     from hemlockhall_router.request.response_writer import ResponseWriter
+    from hemlockhall_router.version.endpoint import EndpointStatement
 
 # Far above the network delay between the data centres of a region, far below the
 # latency objectives.
 CONNECT_TIMEOUT_S = 0.3
-# An idempotent request is retried after an endpoint has been silent for this
-# multiple of its average latency, but not before the minimum.
+# An idempotent request is also sent to another endpoint after the first one has been
+# silent for this multiple of its average latency, but not before the minimum.
 LATENCY_TIMEOUT_FACTOR = 6.0
 MIN_RESPONSE_TIMEOUT_S = 0.4
 # Limit on the attempts that were not executed, which the route does not limit.
@@ -76,7 +80,9 @@
         self._unexecuted_attempts = 0
         # Whether the last attempt sent was rejected for want of room.
         self._rejected_for_room = False
-        self._statement = EndpointStatement()
+        # Why no attempt began when the last one was to begin, and when to come back.
+        self._refusal = RefusalReason.NO_ENDPOINT
+        self._retry_after_s: float | None = None
         self._crashes = CrashCount()
         # Whether it is not sent again, as endpoints crashed under it.
         self._crashed = False
@@ -84,46 +90,120 @@
 
     async def run(self) -> None:
         """Send the request until it gets a response or is given up."""
-        request = self._request
+        response = None
+        async with anyio.create_task_group() as group:
+            self._race = AttemptRace(group, self._run_attempt)
+            response = await self._first_response(self._race)
+            group.cancel_scope.cancel()
+        if response is None:
+            await self._give_up(self._refusal, self._retry_after_s)
+            return
+        self._request.completed = True
+        await self._writer.forward(response)
+
+    async def _first_response(self, race: AttemptRace) -> Response | None:
+        """Return the first whole response, or None if the request is given up.
+
+        A silent attempt stays connected while another one begins elsewhere, and also
+        if no other may begin.
+        """
+        may_try = True
         while True:
-            try:
-                record = self._context.chooser.choose_endpoint(
-                    request.service.name,
-                    self._attempted_ids,
-                    by_rate=self._context.admission.applies(request.service.name),
-                    objective_s=request.route.latency_objective_s,
-                    remaining_s=request.remaining_s,
-                )
-            except NoRoomError:
-                await self._give_up(RefusalReason.NO_ROOM)
-                return
-            except NoPermitError as exc:
-                retry_after_s = self._context.limits.promise_permit_s(exc.endpoints)
-                await self._give_up(RefusalReason.NO_PERMIT, retry_after_s)
-                return
-            except EndpointsRestingError as exc:
-                retry_after_s = self._context.statements.retry_after_s(exc.deadline)
+            record = self._choose(race) if may_try else None
+            if record is not None:
+                race.start(record)
+            elif not race.running:
+                return None
+            result = await race.next_result(self._next_try_at(record, race))
+            if result is None:
+                self._record_silence(race)
+                may_try = self._may_add_attempt(race)
+                continue
+            record, outcome = result
+            if not isinstance(outcome, AttemptFailedError):
+                self._leave_silent(race)
+                return outcome
+            may_try = self._handle_failure(record, outcome)
+            if race.running:
+                may_try = may_try and self._may_add_attempt(race)
+            if may_try:
+                continue
+            self._refusal, self._retry_after_s = RefusalReason.ENDPOINTS_FULL, None
+            if self._error_response is not None or self._crashed:
+                return None
+
+    def _choose(self, race: AttemptRace) -> EndpointRecord | None:
+        """Return the endpoint of the next attempt; else record why there is none."""
+        request, context = self._request, self._context
+        self._refusal, self._retry_after_s = RefusalReason.NO_ENDPOINT, None
+        try:
+            record = context.chooser.choose_endpoint(
+                request.service.name,
+                self._attempted_ids.union(race.running),
+                by_rate=context.admission.applies(request.service.name),
+                objective_s=request.route.latency_objective_s,
+                remaining_s=request.remaining_s,
+                # One that pauses is no better than the one that is silent.
+                pausing=not race.running,
+            )
+        except NoRoomError:
+            self._refusal = RefusalReason.NO_ROOM
+            return None
+        except NoPermitError as exc:
+            self._refusal = RefusalReason.NO_PERMIT
+            if not race.running:
+                self._retry_after_s = context.limits.promise_permit_s(exc.endpoints)
+            return None
+        except EndpointsRestingError as exc:
+            self._refusal = RefusalReason.RESTING
+            if not race.running:
+                retry_after_s = context.statements.retry_after_s(exc.deadline)
                 if self._attempted_ids - exc.endpoint_ids:
                     # Others have no room at present.
                     retry_after_s = min(RETRY_AFTER_FULL_S, retry_after_s)
-                await self._give_up(RefusalReason.RESTING, retry_after_s)
-                return
-            if record is None or request.remaining_s <= 0:
-                await self._give_up(RefusalReason.NO_ENDPOINT)
-                return
-            if self._attempts_sent and not self._acquire_retry():
-                await self._give_up(RefusalReason.RETRY_BUDGET)
-                return
-            try:
-                response = await self._run_attempt(record)
-            except AttemptFailedError as exc:
-                if not self._handle_failure(record, exc):
-                    await self._give_up(RefusalReason.ENDPOINTS_FULL)
-                    return
+                self._retry_after_s = retry_after_s
+            return None
+        if record is None or request.remaining_s <= 0:
+            return None
+        if (self._attempts_sent or race.running) and not self._acquire_retry():
+            self._refusal = RefusalReason.RETRY_BUDGET
+            return None
+        return record
+
+    def _may_add_attempt(self, race: AttemptRace) -> bool:
+        """Return whether another attempt may begin beside those in progress."""
+        route = self._request.route
+        sent = self._attempts_sent + len(race.running)
+        return route.retryable and sent < route.max_attempts
+
+    def _next_try_at(self, record: EndpointRecord | None, race: AttemptRace) -> float:
+        """Return when to try another endpoint if no attempt ends before."""
+        if not self._may_add_attempt(race):
+            return inf
+        timeout_s = MIN_RESPONSE_TIMEOUT_S
+        if record is not None:
+            timeout_s = max(timeout_s, LATENCY_TIMEOUT_FACTOR * record.latency_s)
+        return time.monotonic() + timeout_s
+
+    def _record_silence(self, race: AttemptRace) -> None:
+        """Record that the attempts in progress are silent, and probe endpoints."""
+        self._context.prober.request_probes(list(race.running))
+        for endpoint_id in race.running:
+            if endpoint_id in self._attempted_ids:
                 continue
-            request.completed = True
-            await self._writer.forward(response)
-            return
+            self._attempted_ids.add(endpoint_id)
+            self._context.metrics.count_retry(RetryReason.SILENT)
+            logger.info(
+                "try silent",
+                request=decode_value(self._request.id),
+                endpoint=endpoint_id,
+            )
+
+    def _leave_silent(self, race: AttemptRace) -> None:
+        """Record the failure of endpoints that are silent and answer probes."""
+        for endpoint_id, record in race.running.items():
+            if endpoint_id in self._attempted_ids and not record.down:
+                self._context.directory.record_failure(endpoint_id, "silent")
 
     def _handle_failure(self, record: EndpointRecord, exc: AttemptFailedError) -> bool:
         """Record a failed attempt; return whether a retry may follow."""
@@ -142,7 +222,9 @@
             self._error_response = exc.response
         if exc.reason not in UNSENT_REASONS:
             self._attempts_sent += 1
-        elif exc.reason in WITHHELD_REASONS and self._attempts_sent:
+        elif exc.reason in WITHHELD_REASONS and (
+            self._attempts_sent or self._race.running
+        ):
             # Nothing was sent, so the retry that was taken is used by the next attempt.
             self._retry_acquired = True
         if exc.reason is RetryReason.QUARANTINED:
@@ -153,8 +235,9 @@
                 return False
             return self._unexecuted_attempts < MAX_UNEXECUTED_ATTEMPTS
         self._may_have_run = True
-        if exc.reason in CRASH_REASONS and request.segments.own:
+        if exc.reason in CRASH_REASONS:
             self._context.prober.request_probes([record.endpoint.id])
+        if self._seems_crashed(record, exc.reason) and request.segments.own:
             self._context.crashes.record_attempt(
                 request, [record.endpoint], responded=False
             )
@@ -168,6 +251,15 @@
             and len(self._attempted_ids) < request.route.max_attempts
         )
 
+    def _seems_crashed(self, record: EndpointRecord, reason: RetryReason) -> bool:
+        """Return whether an endpoint seems to have crashed under the request.
+
+        One that is silent has if it is known to.
+        """
+        if reason is RetryReason.SILENT:
+            return self._context.directory.has_crashed(record.endpoint)
+        return reason in CRASH_REASONS
+
     def _acquire_retry(self) -> bool:
         """Take a retry from the budget, unless the last one was not used."""
         if self._retry_acquired:
@@ -221,22 +313,24 @@
         try:
             with InFlightTracker(context.directory, [endpoint.id]):
                 load = record.load
-                response = await self._exchange(conn, record)
+                response, statement = await self._exchange(conn, record)
         except TransportError as exc:
-            # Any transport error after this time counts as silence, also a reset.
-            silent = time.monotonic() - started > MIN_RESPONSE_TIMEOUT_S
-            context.directory.record_failure(endpoint.id, str(exc))
+            silent = isinstance(exc, ReadTimeoutError)
+            if not silent or not record.down:
+                # The prober tells when a silent endpoint goes on.
+                context.directory.record_failure(endpoint.id, str(exc))
             reason = RetryReason.SILENT if silent else RetryReason.BROKEN
             raise AttemptFailedError(reason, str(exc), may_have_run=True) from exc
         finally:
             if not conn.reusable:
                 await conn.close()
         await context.pool.release(endpoint.address, conn, response.head)
-        return self._check_response(record, response, time.monotonic() - started, load)
+        response_time_s = time.monotonic() - started
+        return self._check_response(record, response, statement, response_time_s, load)
 
     async def _exchange(
         self, conn: ClientConnection, record: EndpointRecord
-    ) -> Response:
+    ) -> tuple[Response, EndpointStatement]:
         request, context = self._request, self._context
         data = encode_upstream_request(
             request,
@@ -247,37 +341,25 @@
         record_send(request, context, [record.endpoint])
         self._rejected_for_room = False
         await conn.send(data, request.deadline)
-        deadline = self._response_deadline(record)
         for _ in range(MAX_LATE_RESPONSES):
             no_body = request.head.method == b"HEAD"
-            response = await conn.read_response(deadline, no_body=no_body)
+            response = await conn.read_response(request.deadline, no_body=no_body)
             echoed = response.head.header(context.dialect.headers.request_id)
             if echoed is None or echoed == request.id:
-                self._statement = context.statements.record_response(
+                statement = context.statements.record_response(
                     record.endpoint, response.head
                 )
-                return response
+                return response, statement
             # A late response to an earlier request on this connection; the response
             # to this one follows it.
             logger.warning("late response skipped", request=decode_value(request.id))
         raise ConnectionLostError("received only responses to other requests")
 
-    def _response_deadline(self, record: EndpointRecord) -> float:
-        request = self._request
-        if (
-            not request.route.retryable
-            or request.route.max_attempts <= self._attempts_sent + 1
-        ):
-            return request.deadline
-        timeout_s = max(
-            MIN_RESPONSE_TIMEOUT_S, LATENCY_TIMEOUT_FACTOR * record.latency_s
-        )
-        return min(request.deadline, time.monotonic() + timeout_s)
-
     def _check_response(
         self,
         record: EndpointRecord,
         response: Response,
+        statement: EndpointStatement,
         response_time_s: float,
         load: int,
     ) -> Response:
@@ -297,7 +379,7 @@
                     endpoint_id, "another endpoint has its address"
                 )
             self._rejected_for_room = lacks_room(
-                status, self._statement, record, time.monotonic()
+                status, statement, record, time.monotonic()
             )
             if self._rejected_for_room:
                 self._context.admission.record_rejected(self._request.service.name)
