Send the second attempt of a silent stream to no other pausing endpoint

A path with endpoints that pause serves a stream no better than the silent one that it is connected to, and takes a retry. New requests still wait at them if no other path is left.

--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -213,7 +213,7 @@
         """
         old = self._attempt
         assert old is not None
-        path = self._choose_path(self._excluded_ids, None)
+        path = self._choose_path(self._excluded_ids, None, pausing=False)
         if path is None or path.first_endpoint.id == old.path.first_endpoint.id:
             return
         if not self._may_add_endpoint(old.path) or not self._may_send_second():
@@ -350,14 +350,16 @@
             return None
         silent_ids = set(old.endpoint_ids)
         first_ids = self._allowed_first_endpoints(old)
-        path = self._choose_path(self._excluded_ids | silent_ids, first_ids)
+        path = self._choose_path(
+            self._excluded_ids | silent_ids, first_ids, pausing=False
+        )
         if path is None and len(silent_ids) > 1:
-            path = self._choose_path(self._excluded_ids, first_ids)
+            path = self._choose_path(self._excluded_ids, first_ids, pausing=False)
             if path is not None:
                 if silent_ids <= {stage.endpoint.id for stage in path.stages}:
                     path = None
         if path is None and old.timed_out:
-            path = self._choose_path(set(), first_ids)
+            path = self._choose_path(set(), first_ids, pausing=False)
         return path
 
     def _may_send_second(self) -> bool:
@@ -529,9 +531,17 @@
             interval_s = min(MAX_POLL_INTERVAL_S, interval_s * POLL_BACKOFF_FACTOR)
 
     def _choose_path(
-        self, excluded: set[str], first_endpoint_ids: frozenset[str] | None
+        self,
+        excluded: set[str],
+        first_endpoint_ids: frozenset[str] | None,
+        *,
+        pausing: bool = True,
     ) -> Path | None:
-        """Return a path, or None if there is none that may be used now."""
+        """Return a path, or None if there is none that may be used now.
+
+        ``pausing`` tells whether endpoints that pause may be on it if no other path is
+        left. They serve a stream no better that is connected to an endpoint.
+        """
         self._without_permit = []
         self._resting = None
         try:
@@ -541,6 +551,7 @@
                 first_endpoint_ids,
                 tokens=self._request.token_estimate,
                 resumed=self._writer.started,
+                pausing=pausing,
             )
         except NoPermitError as exc:
             self._without_permit = exc.endpoints
