--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -803,6 +803,9 @@
         if not down:
             # It may have become slower or faster.
             record.sampled_at = float("-inf")
+            if record.failures:
+                # Failures that the silence caused say nothing of it now.
+                record.failures, record.backoff_deadline = 0, 0.0
         elif ended:
             _move_streams(record, "endpoint ended")
         else:
