--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -293,6 +293,9 @@
                 # sent, and it would be unknown whether the request was executed.
                 host, port = endpoint.address
                 conn = await ClientConnection.open(host, port, connect_deadline)
+        except anyio.get_cancelled_exc_class():
+            context.limits.give_back(permit)
+            raise
         except NotSentError as exc:
             context.limits.give_back(permit)
             context.directory.record_failure(endpoint.id, str(exc))
