Count the heads that were read, not the calls that waited for one

What callers saw: a silent stream without an event was broken off after 0.8 s, as its host reads it in turns of 0.1 s and each cancelled read of the head counted toward the limit of responses to one request. Log: 'stream broke', cause 'too many responses to one request'.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -210,8 +210,7 @@
             before it exceeds ``MAX_HEAD_BYTES``.
         """
         self.reusable = False
-        self._heads_read += 1
-        if self._heads_read > MAX_RESPONSES_PER_REQUEST:
+        if self._heads_read >= MAX_RESPONSES_PER_REQUEST:
             raise ProtocolError("too many responses to one request")
         responses = self._collector.responses
         while True:
@@ -224,6 +223,8 @@
             if response.head.status >= 200:
                 break
         head = response.head
+        # Not counted before: the call may be cancelled, and repeated.
+        self._heads_read += 1
         self._current = response
         self._head_bytes = 0
         self._framing_bytes_left = MAX_FRAMING_BYTES
--- a/tests/router/test_client.py
+++ b/tests/router/test_client.py
@@ -14,6 +14,7 @@
 from hemlockhall_router.connection.client import (
     MAX_FRAMING_BYTES,
     MAX_HEAD_BYTES,
+    MAX_RESPONSES_PER_REQUEST,
     MAX_SKIPPED_BYTES,
     ClientConnection,
 )
@@ -348,3 +349,15 @@
                     group.start_soon(read, conn)
         assert budget.used == 0
         assert most <= 3_000_000
+
+
+class TestCancelledReads:
+    async def test_a_head_may_be_waited_for_in_many_short_calls(self) -> None:
+        """Guards against a silent response that counts as broken since reads of its
+        head were cancelled and repeated."""
+        async with server() as conn:
+            for _ in range(3 * MAX_RESPONSES_PER_REQUEST):
+                with anyio.move_on_after(0.005):
+                    await conn.read_head(deadline())
+            with pytest.raises(ReadTimeoutError):
+                await conn.read_head(time.monotonic())
