Go on with a second attempt that still connects when the silent one breaks

What callers saw: a 200 cut off, or 500, if a silent endpoint ended while the second attempt was connecting: the race ended with the first failure, and the stream went on with an attempt that was never sent. The failure of the silent attempt no longer ends the other. TestRace of test_silence_review.py (2 cases) failed before.

--- a/packages/router/src/hemlockhall_router/request/hedge.py
+++ b/packages/router/src/hemlockhall_router/request/hedge.py
@@ -42,7 +42,9 @@
     *,
     started: bool,
 ) -> RaceOutcome:
-    """Send ``new``, and read both until one has an event or fails.
+    """Send ``new``, and read both until one has an event or ``new`` fails.
+
+    If ``old`` fails, ``new`` is read alone.
 
     The caller closes the one that does not go on. ``undelivered`` returns those of the
     events given that the caller lacks; ``resume_after`` is the id of the last that it
@@ -60,6 +62,9 @@
                 )
             except AttemptFailedError as exc:
                 outcome.failures[attempt] = exc
+                if attempt is old and new not in outcome.failures:
+                    # The new one goes on, also if it is not sent yet.
+                    return
             else:
                 # Both may have been received at the same moment.
                 if outcome.winner is None:
