Keep a stream that was resumed when a segment of its prompt is quarantined

What callers saw: a stream with events was cut off by a verdict, as the endpoint that it had moved to had not sent an event yet. The verdict asked for the events of the attempt, not of the caller. TestQuarantine of test_silence_review.py failed before.

--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -563,7 +563,10 @@
             self._suspects.pop(item.segment, None)
             return
         for stream in list(self._directory.active_streams):
-            if item.segment in stream.segment_keys and not stream.first_event_seen:
+            if stream.first_event_seen or stream.resumed:
+                # Its caller has events, so it is not given up.
+                continue
+            if item.segment in stream.segment_keys:
                 stream.request_move("a segment of the prompt is quarantined")
 
     def _may_try(self, verdict: _Verdict, now_ms: int) -> bool:
--- a/packages/router/src/hemlockhall_router/request/active_stream.py
+++ b/packages/router/src/hemlockhall_router/request/active_stream.py
@@ -60,6 +60,8 @@
         leaving would lose it, and its own connection shows whether it broke.
     segment_keys : tuple of int
         Keys of the shared segments of its prompt.
+
+    ``resumed`` is true if its caller has events of an earlier attempt.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.last_event_at = time.monotonic()
         self.probe_requested = False
         self.first_event_seen = False
+        self.resumed = False
         self.move_requested_at = float("-inf")
         self._interval_estimator = EventIntervalEstimator()
         self._move_request: MoveRequestedError | None = None
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -126,6 +126,7 @@
             rest or leaves, or a segment of the prompt is in quarantine, or the endpoint
             cannot be reached.
         """
+        self.active_stream.resumed = resume_after is not None
         limits, statements = self._context.limits, self._context.statements
         permit = limits.try_acquire(self.path.first_endpoint)
         if permit is None:
