Apply the results of probes to the incarnation that was probed

A probe may take 2 s. Its result was applied by id: a refused connection of an earlier incarnation ended the next one and moved its streams, as did a failure that events had refuted meanwhile. The end of a pause was marked by changing the time at which the endpoint fell silent, so that events from before the silence looked like signs of life. And an endpoint that answers without a report stayed down after a pause.

--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -882,13 +882,10 @@
                 self.set_down(record.endpoint.id, down=False, cause="serves others")
 
     def end_pause(self, endpoint_id: str) -> None:
-        """Stop to expect that a silent endpoint goes on."""
+        """Let others take the layers of an endpoint that is still silent."""
         record = self.records.get(endpoint_id)
-        if record is None or not record.down or record.ended:
+        if record is None or not record.down or record.pausing(time.monotonic()):
             return
-        record.down_changed_at = min(
-            record.down_changed_at, time.monotonic() - PAUSE_LIMIT_S
-        )
         logger.warning("endpoint stays silent", endpoint=endpoint_id)
         self._bump_version()
 
--- a/packages/router/src/hemlockhall_router/process/prober.py
+++ b/packages/router/src/hemlockhall_router/process/prober.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -63,6 +64,15 @@
     """An endpoint was not called, as it asked for rest."""
 
 
+@dataclass(slots=True, frozen=True)
+class _FailedProbe:
+    """A probe without an answer, of an incarnation, that began at a monotonic time."""
+
+    exc: TransportError
+    incarnation: tuple[str, int]
+    began_at: float
+
+
 class Prober:
     """Probes endpoints of silent streams, and those that are down or slow.
 
@@ -189,7 +199,7 @@
         self, endpoint_ids: list[str], awaiting: anyio.abc.TaskGroup
     ) -> None:
         """Probe endpoints; tasks that wait for silent ones run in ``awaiting``."""
-        failed: dict[str, TransportError] = {}
+        failed: dict[str, _FailedProbe] = {}
         async with anyio.create_task_group() as group:
             for endpoint_id in endpoint_ids:
                 group.start_soon(self._probe, endpoint_id, failed)
@@ -201,14 +211,8 @@
                 "most probes failed", asked=len(endpoint_ids), failed=len(failed)
             )
             return
-        for endpoint_id, exc in failed.items():
-            ended = isinstance(exc, ConnectRefusedError)
-            record = self._directory.records.get(endpoint_id)
-            newly_silent = record is not None and not record.down and not ended
-            self._directory.set_down(
-                endpoint_id, down=True, ended=ended, cause=str(exc)
-            )
-            if newly_silent:
+        for endpoint_id, probe in failed.items():
+            if self._apply_failure(endpoint_id, probe):
                 self._awaited.add(endpoint_id)
                 awaiting.start_soon(self._await_answer, endpoint_id)
         unhealthy = any(
@@ -220,26 +224,44 @@
             else min(MAX_SILENCE_FACTOR, self._silence_factor * SILENCE_FACTOR_GROWTH)
         )
 
+    def _apply_failure(self, endpoint_id: str, probe: _FailedProbe) -> bool:
+        """Apply a failed probe; return whether the endpoint has just become silent."""
+        record = self._directory.records.get(endpoint_id)
+        if record is None or record.endpoint.incarnation != probe.incarnation:
+            return False
+        if record.last_local_event_at > probe.began_at:
+            return False
+        ended = isinstance(probe.exc, ConnectRefusedError)
+        newly_silent = not record.down and not ended
+        self._directory.set_down(
+            endpoint_id, down=True, ended=ended, cause=str(probe.exc)
+        )
+        return newly_silent
+
     async def _await_answer(self, endpoint_id: str) -> None:
         """Probe a silent endpoint with a timeout that outlasts its pause.
 
         It answers as soon as it goes on, so that it is used again at once.
         """
-        failed: dict[str, TransportError] = {}
+        pause_deadline = time.monotonic() + PAUSE_LIMIT_S
+        failed: dict[str, _FailedProbe] = {}
         try:
             await self._probe(endpoint_id, failed, PAUSE_LIMIT_S)
         finally:
             self._awaited.discard(endpoint_id)
-        exc = failed.get(endpoint_id)
-        if isinstance(exc, ConnectRefusedError):
-            self._directory.set_down(endpoint_id, down=True, ended=True, cause=str(exc))
-        elif exc is not None:
-            self._directory.end_pause(endpoint_id)
+        probe = failed.get(endpoint_id)
+        if probe is None:
+            return
+        if isinstance(probe.exc, ConnectRefusedError):
+            self._apply_failure(endpoint_id, probe)
+            return
+        await anyio.sleep(max(0.0, pause_deadline - time.monotonic()))
+        self._directory.end_pause(endpoint_id)
 
     async def _probe(
         self,
         endpoint_id: str,
-        failed: dict[str, TransportError],
+        failed: dict[str, _FailedProbe],
         timeout_s: float | None = None,
     ) -> None:
         """Probe an endpoint; add it to ``failed`` with the error if that fails."""
@@ -250,6 +272,7 @@
             timeout_s = RELAXED_PROBE_TIMEOUT_S if record.down else PROBE_TIMEOUT_S
         began = time.monotonic()
         deadline = began + timeout_s
+        incarnation = record.endpoint.incarnation
         try:
             report = await self.fetch_report(record.endpoint, timeout_s)
         except CallWithheldError:
@@ -257,11 +280,16 @@
         except TransportError as exc:
             late = time.monotonic() - deadline >= STALL_S
             if not late and self._reading_since < began:
-                failed[endpoint_id] = exc
+                failed[endpoint_id] = _FailedProbe(exc, incarnation, began)
             return
         except DecodeError as exc:
             # It responds, so it is up; plain services have no report call.
             logger.debug("no report", endpoint=endpoint_id, cause=str(exc))
+            if record.endpoint.incarnation == incarnation:
+                self._directory.set_down(endpoint_id, down=False, cause="responds")
+            return
+        if record.endpoint.incarnation != incarnation:
+            # Another one started meanwhile, according to its store entry.
             return
         self._directory.set_down(endpoint_id, down=False, cause="answers probes")
         self._directory.apply_report(endpoint_id, report)
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -408,6 +408,9 @@
         assert endpoint in directory.live_endpoints("pool")
         version = directory.version
         directory.end_pause("p1")
+        assert endpoint in directory.live_endpoints("pool")
+        directory.records["p1"].down_changed_at -= PAUSE_LIMIT_S
+        directory.end_pause("p1")
         assert endpoint not in directory.live_endpoints("pool")
         assert directory.version > version
 
@@ -422,7 +425,7 @@
         """Guards against prompts that are blamed for a pause of an endpoint."""
         endpoint = directory.records["p1"].endpoint
         directory.set_down("p1", down=True)
-        directory.end_pause("p1")
+        directory.records["p1"].down_changed_at -= PAUSE_LIMIT_S
         assert not directory.has_crashed(endpoint)
         directory.set_down("p1", down=True, ended=True)
         assert directory.has_crashed(endpoint)
