Use pausing endpoints only where no other could serve the request

What callers got: 504 after 4 s for a booking that all answering endpoints had rejected as full (503 before), as it was sent to a silent one; and 10.6 s of waiting for a stream at an endpoint that stayed silent while another one went on (503 after 0.9 s before), as it was asked to move only when its endpoint fell silent, which was before. Permits and rests, whose times are known, come first as well.

--- a/packages/router/src/hemlockhall_router/process/chooser.py
+++ b/packages/router/src/hemlockhall_router/process/chooser.py
@@ -135,7 +135,8 @@
         candidates = []
         without_permit = []
         resting: dict[str, float] = {}
-        for record in self._directory.usable(service):
+        usable = self._directory.usable(service)
+        for record in usable:
             send_at = self._statements.send_at(record.endpoint)
             if send_at:
                 resting[record.endpoint.id] = send_at
@@ -146,7 +147,7 @@
                 without_permit.append(record.endpoint)
                 continue
             candidates.append(record)
-        if not candidates and pausing:
+        if pausing and not usable:
             record = _least_wait(self._pausing_candidates(service, excluded))
             if record is not None:
                 return record
@@ -228,7 +229,7 @@
         path = self._find(
             service, model, excluded, tokens, first_endpoint_ids, not_first_ids
         )
-        if path is None and pausing:
+        if path is None and pausing and not without_permit and not resting:
             path = self._find_pausing(
                 service, model, excluded, tokens, first_endpoint_ids, resumed=resumed
             )
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -143,6 +143,11 @@
             limits.give_back(permit)
             raise
         self._in_flight.start()
+        if self._in_flight.silent:
+            # Another path may be found before the timeout.
+            self.active_stream.request_move(
+                "endpoint silent", still_served=True, reason=RetryReason.SILENT
+            )
         self._record_transfers()
         data = encode_upstream_request(
             self._request,
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -290,6 +290,11 @@
             if record is not None:
                 self._records.append(record)
 
+    @property
+    def silent(self) -> bool:
+        """Whether one of the endpoints does not answer now."""
+        return any(record.down for record in self._records)
+
     def start(self) -> None:
         """Begin to count the request."""
         self._prefill_pending = True
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -512,7 +512,12 @@
         interval_s = POLL_INTERVAL_S
         while True:
             first_endpoint_ids = self._allowed_first_endpoints()
-            path = self._choose_path(self._excluded_ids, first_endpoint_ids)
+            # Those that failed the request and answer are better than pausing ones.
+            path = self._choose_path(
+                self._excluded_ids,
+                first_endpoint_ids,
+                pausing=not self._excluded_ids,
+            )
             if path is not None:
                 return path
             if self._may_refuse_at_once():
