--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -94,7 +94,8 @@
         async with anyio.create_task_group() as group:
             self._race = AttemptRace(group, self._run_attempt)
             response = await self._first_response(self._race)
-            group.cancel_scope.cancel()
+            if self._race.running:
+                group.cancel_scope.cancel()
         if response is None:
             await self._give_up(self._refusal, self._retry_after_s)
             return
