Let a silent stand-in wait for a millisecond at least

A stand-in that waits for the rest of its silence slept for a rounding error, which does not advance a virtual clock, and did so again and again.

--- a/packages/standins/src/hemlockhall_standins/router/endpoint.py
+++ b/packages/standins/src/hemlockhall_standins/router/endpoint.py
@@ -23,6 +23,8 @@
     from hemlockhall_router.connection.message import RequestHead
 
 READER_LIMITS = CallerLimits(idle_s=30.0)
+# Shortest wait of an endpoint that is silent.
+MIN_WAIT_S = 0.001
 
 
 @dataclass
@@ -179,7 +181,8 @@
     async def wait_until_heard(self) -> None:
         """Wait until the endpoint is not silent."""
         while (left_s := self.silent_until - time.monotonic()) > 0:
-            await anyio.sleep(left_s)
+            # A wait of one rounding error would not advance a virtual clock.
+            await anyio.sleep(max(left_s, MIN_WAIT_S))
 
     def stop(self) -> None:
         """Stop listening and close all connections."""
