Log what a request refused as quarantined had in its prompt

The line had a key only, which no other line has, so that it did not show whether the request had the fatal segment or only one that came with it. It has the shared segments, route and customer now; a gauge has the number of endpoints whose layers a host does not know from the store.

--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -366,7 +366,11 @@
             "request refused",
             request=request.id.decode("latin-1"),
             reason=reason.value,
+            route=request.route.name,
+            customer=request.customer.name if request.customer else "",
             segment=f"{verdict.segment:016x}",
+            segments=request.segments.logged,
+            since_ms=verdict.since_ms,
             retry_after_s=round(retry_after_s, 1),
         )
         await response.local_reply(503, text, retry_after_s)
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -133,6 +133,11 @@
         self.directory = Directory(
             self._dialect.decode_endpoint, self._outage.grace_deadline, self._timing
         )
+        metrics.add_gauge(
+            "layers_ahead_of_store",
+            "all",
+            lambda: len(self.directory.layer_updates()),
+        )
         self.lease = Lease(self._store, host.name, self._run_id)
         retry = settings.retry
         self.budget = RetryBudget(
