--- a/packages/standins/src/hemlockhall_standins/router/network.py
+++ b/packages/standins/src/hemlockhall_standins/router/network.py
@@ -10,6 +10,7 @@
 import random
 import statistics
 import zlib
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -49,10 +50,11 @@
     is true while its process stands still and neither sends nor receives,
     ``store_partitioned`` cuts it off from the store, ``slow_s`` delays each
     datagram that it sends, and ``learned`` holds the time at which it got each
-    version of the table. ``demands`` and ``customers`` return its figures for overload
-    control, and ``alter`` changes the messages that it sends, as a host of another
-    version or with a fault would. ``false_figures`` counts received messages with
-    figures out of range.
+    version of the table. ``down`` has the keys of endpoints that do not answer it, and
+    ``heard`` those in the lists of messages, by the list. ``demands`` and ``customers``
+    return its figures for overload control, and ``alter`` changes the messages that it
+    sends, as a host of another version or with a fault would. ``false_figures`` counts
+    received messages with figures out of range.
     """
 
     name: str
@@ -67,6 +69,8 @@
     slow_s: float = 0.0
     store_partitioned: bool = False
     loads: list[Load] = field(default_factory=list)
+    down: list[int] = field(default_factory=list)
+    heard: dict[str, set[int]] = field(default_factory=lambda: defaultdict(set))
     demands: Callable[[], list[ServiceDemand]] = list
     customers: Callable[[], list[CustomerDemand]] = list
     alter: Callable[[Message], Message] = lambda message: message
@@ -90,7 +94,7 @@
             self._count_false_figures,
         )
         self.exchange.host_count.set_minimum(len(self.network.hosts))
-        directory = make_directory()
+        self.directory = directory = make_directory()
         for endpoint in self.network.endpoints:
             directory.add(endpoint)
         self.limits = EndpointLimits(
@@ -115,6 +119,9 @@
     def _local_state(self) -> LocalState:
         return LocalState(
             loads=self.loads,
+            down=self.down,
+            layer_updates=self.directory.layer_updates(),
+            leaving_endpoints=self.directory.leaving_notices(),
             store_unreachable=self.store_unreachable,
             usage=self.budget.usage(),
             retries=self.budget.records(),
@@ -214,6 +221,11 @@
         if self.frozen or not self.alive:
             return
         self.exchange.receive(message)
+        self.heard["down"].update(message.down)
+        self.heard["leaving"].update(notice.endpoint for notice in message.leaving)
+        self.heard["limits"].update(limit.endpoint for limit in message.limits)
+        self.directory.apply_layer_updates(message.layer_updates)
+        self.directory.apply_leaving(message.leaving)
         self.limits.apply(message.limits)
         self.quarantine.apply(message.crashes, message.verdicts, message.ended)
         now = self.network.now
