Add tests of sound requests that share a rare segment with fatal ones, 7 of which fail

Requests [rare, bad] end endpoints; sound requests [rare] begin 3 s after the third end. On none of them is served 6 s after the fifth end in any of the seven cases: first or last segment, several of them, ends before or after the head, 4 and 16 hosts, a host that restarts. With sound requests from the start on, 0.5 a second, all seven passed: one that was served between the ends had cleared the segment. Two further tests, of a fatal segment that comes with others first, pass and guard what a fix must keep.

--- a/tests/router/test_quarantine.py
+++ b/tests/router/test_quarantine.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from itertools import count
+from itertools import count, cycle
 from typing import Any
 
 import anyio
@@ -26,12 +26,19 @@
 # hosts, later than ``CONTACT_S`` after the fifth crash.
 ALLOWED = 3
 CRASHES = 5
+# Crashes under a segment after which it is quarantined at the earliest.
+CRASHES_FOR_VERDICT = 3
 CONTACT_S = 3.0
 START_S = 2.0
 # Seconds within which a request is refused without a wait.
 AT_ONCE_S = 0.02
 # Fraction of the sound requests that are served at least, of those served before.
 SERVED_FRACTION = 0.5
+# Sound requests with a segment of the fatal ones must be served from this time after
+# the fifth crash, or the last if there are fewer, until the end of the test.
+RARE_AFTER_S = 2 * CONTACT_S
+RARE_UNTIL_S = 16.0
+RARE_RATE = 3.0
 
 
 @pytest.fixture()
@@ -226,6 +233,89 @@
         assert len(set(arrived)) == 4
 
 
+@dataclass
+class RareCase:
+    """Requests that crash endpoints, and sound ones that share a segment with them."""
+
+    fatal: list[str]
+    sound: list[str]
+    hosts: int = 4
+    fatal_rate: float = 2.0
+    responds: bool = True
+    seed: int = 1
+    restart: bool = False
+
+
+RARE_CASES = {
+    "first": RareCase(["rare", "bad"], ["rare"]),
+    "first-seldom": RareCase(["rare", "bad"], ["rare"], fatal_rate=0.6, seed=2),
+    "first-waiting": RareCase(["rare", "bad"], ["rare"], responds=False, seed=3),
+    "first-16-hosts": RareCase(["rare", "bad"], ["rare"], hosts=16, seed=4),
+    "last": RareCase(["bad", "rare"], ["rare"], seed=5),
+    "several": RareCase(["rare", "a", "bad", "b"], ["rare", "a", "b"], seed=6),
+    "first-restart": RareCase(["rare", "bad"], ["rare"], restart=True, seed=7),
+}
+
+
+class TestSharedSegments:
+    @pytest.mark.parametrize("name", RARE_CASES)
+    async def test_sound_requests_with_a_rare_segment_of_fatal_ones_are_served(
+        self, name: str
+    ) -> None:
+        """Guards against a sound segment that is refused for ten minutes as all fatal
+        requests had it too, and no sound request had shown it to be harmless."""
+        case = RARE_CASES[name]
+        random.seed(case.seed)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            for number in range(1, case.hosts):
+                await harness.add_router(data_centre=f"place-{number % 3}")
+            pool = CrashingPool(harness, fatal={"bad"}, restart_s=(2.0, 5.0))
+            pool.responds = case.responds
+            await pool.start(16)
+            PromptLoad(harness, 10.0, lambda: ["base"], "sound").start()
+            rare = PromptLoad(harness, 0.0, lambda: case.sound, "rare")
+            rare.start()
+            await anyio.sleep(START_S)
+            bad = PromptLoad(harness, case.fatal_rate, lambda: case.fatal, "bad")
+            bad.start()
+            await harness.wait_until(
+                lambda: len(pool.crashes_under.get("bad", ())) >= CRASHES_FOR_VERDICT
+            )
+            await anyio.sleep(CONTACT_S)
+            if case.restart:
+                harness.kill(0)
+                await anyio.sleep(0.5)
+                await harness.restart(0)
+            rare.rate = RARE_RATE
+            await anyio.sleep(RARE_UNTIL_S - CONTACT_S)
+            now = time.monotonic()
+        crashes = pool.crashes_under["bad"]
+        fifth = crashes[min(CRASHES, len(crashes)) - 1]
+        assert rare.served(fifth + RARE_AFTER_S, now - 1.0) >= SERVED_FRACTION
+        assert pool.arrivals_after_crash("bad", CRASHES, CONTACT_S) <= ALLOWED
+
+    @pytest.mark.parametrize("responds", [True, False])
+    async def test_a_first_segment_that_crashes_endpoints_is_found(
+        self, responds: bool
+    ) -> None:
+        """Guards against a fatal segment that is only refused together with another
+        one that the first requests with it had, too."""
+        random.seed(23)
+        others = cycle(["same"] * 4 + ["x", "y", "z"])
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            for number in range(1, 4):
+                await harness.add_router(data_centre=f"place-{number % 3}")
+            pool = CrashingPool(harness, fatal={"bad"}, restart_s=(2.0, 5.0))
+            pool.responds = responds
+            await pool.start(16)
+            PromptLoad(harness, 10.0, lambda: ["base"], "sound").start()
+            await anyio.sleep(START_S)
+            bad = PromptLoad(harness, 1.0, lambda: ["bad", next(others)], "bad")
+            bad.start()
+            await anyio.sleep(20.0)
+        assert pool.arrivals_after_crash("bad", CRASHES, CONTACT_S) <= ALLOWED
+
+
 class TestCallers:
     async def test_they_are_refused_at_once_and_told_when_to_come_back(self) -> None:
         """Guards against callers that wait for a request which is known to fail, or
