Refuse segments that came together only together

What callers saw: after others had crashed endpoints, sound requests got 503 for ten minutes, as a segment of their prompt was in quarantine. All fatal requests had had it too, and no sound one had been served with it since.

Cause: a crash is evidence against each segment of a prompt that nobody has served since, and the verdict was on each of them by itself. Not seen was taken for not sound; and as nothing with the segment was sent from then on, nothing could clear it.

Now evidence names all suspected segments of a prompt, and a verdict the companions that all crashed requests had: a request is refused only if it has all of them. A sound request with one of them is sent, and its success releases that one everywhere and leaves the others refused without it. Two further crashes without a companion, that a request with it does not explain, drop the companion, so a fatal segment is found though its first requests had another one in common. Evidence of several segments of one prompt is one item now, which keeps the messages in their bounds. Older hosts read the first segment of an item and the verdict without companions, as before.

--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -154,6 +154,8 @@
     ``service``. ``crash`` is a 32-bit key of the incarnation that crashed, ``request``
     one that repeats of the request have too. It crashed at ``at_ms`` of the shared
     clock. ``responded`` is true if the head of a response to the request had arrived.
+    ``prompt`` has the keys of all segments of the prompt that may have caused it; it is
+    empty if that is only one, or a request, and from a host of an older version.
     """
 
     segment: int
@@ -162,6 +164,7 @@
     request: Integer
     at_ms: Integer
     responded: bool
+    prompt: tuple[int, ...] = ()
 
 
 class EndedRequests(msgspec.Struct, frozen=True, array_like=True):
@@ -182,6 +185,9 @@
     A quarantine rests on crashes since ``since_ms`` and ends at ``expires_at_ms`` of
     the shared clock. A segment that is released has ``expires_at_ms`` equal to
     ``decided_at_ms``. Of two verdicts the one with the higher ``rank`` holds.
+    ``companions`` are segments that the crashed requests had, too. A request is refused
+    only if it has all of them, apart from those that an endpoint served since
+    ``since_ms``.
 
     If ``since_ms`` is the same as well, a host served the segment then and knows of no
     quarantine: earlier evidence does not count.
@@ -191,6 +197,7 @@
     since_ms: Integer
     decided_at_ms: Integer
     expires_at_ms: Integer
+    companions: tuple[int, ...] = ()
 
     @property
     def quarantined(self) -> bool:
@@ -208,9 +215,9 @@
         return self.since_ms == self.decided_at_ms == self.expires_at_ms
 
     @property
-    def rank(self) -> tuple[int, bool]:
+    def rank(self) -> tuple[int, bool, int]:
         """The order of verdicts on a segment: a later one ranks higher."""
-        return (self.decided_at_ms, not self.quarantined)
+        return (self.decided_at_ms, not self.quarantined, -len(self.companions))
 
 
 class ClassDemand(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/router/src/hemlockhall_router/policy/crash.py
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from hemlockhall_router.membership.message import CrashEvidence
 
@@ -17,6 +17,9 @@
 # Endpoints that crash within this time count as one crash: a rack, or a data centre,
 # may have lost its power.
 CRASH_SPACING_MS = 100
+# Requests without a segment, under each of which an endpoint crashed at another time,
+# that show that it takes no part in the crashes: one may have met another's crash.
+MIN_REQUESTS_WITHOUT = 2
 # Endpoints that may end under one request, in all of its attempts and those of requests
 # with the same content.
 MAX_REQUEST_CRASHES = 3
@@ -34,16 +37,30 @@
         Crashes under requests with the segment, none of which an endpoint served since
         the first of them.
     """
-    first: dict[int, CrashEvidence] = {}
-    for item in evidence:
-        known = first.get(item.request)
-        if known is None or item.at_ms < known.at_ms:
-            first[item.request] = item
-    responded = [item.at_ms for item in first.values() if item.responded]
+    first = _first_crashes(evidence)
+    responded = [item.at_ms for item in first if item.responded]
     if _count_spaced(responded) >= MIN_REQUESTS:
         return True
-    every = [item.at_ms for item in first.values()]
-    return _count_spaced(every) >= MIN_WAITING_REQUESTS
+    return _count_spaced([item.at_ms for item in first]) >= MIN_WAITING_REQUESTS
+
+
+def needs_companion(companion: int, evidence: Collection[CrashEvidence]) -> bool:
+    """Return whether a segment may only crash endpoints together with another one.
+
+    That is so until endpoints crashed under enough requests that have the segment and
+    not the companion. Crashes under requests with both explain themselves.
+
+    Parameters
+    ----------
+    companion : int
+        The key of the other segment.
+    evidence : collection of CrashEvidence
+        Crashes under requests with the segment.
+    """
+    explained = {item.crash for item in evidence if companion in item.prompt}
+    others = [item for item in evidence if item.crash not in explained]
+    times_ms = [item.at_ms for item in _first_crashes(others)]
+    return _count_spaced(times_ms) < MIN_REQUESTS_WITHOUT
 
 
 def is_fatal_request(evidence: Iterable[CrashEvidence]) -> bool:
@@ -55,6 +72,16 @@
     return len({item.crash for item in evidence}) >= MAX_REQUEST_CRASHES
 
 
+def _first_crashes(evidence: Iterable[CrashEvidence]) -> list[CrashEvidence]:
+    """Return the first crash under each request."""
+    first: dict[int, CrashEvidence] = {}
+    for item in evidence:
+        known = first.get(item.request)
+        if known is None or item.at_ms < known.at_ms:
+            first[item.request] = item
+    return list(first.values())
+
+
 def _count_spaced(times_ms: list[int]) -> int:
     """Return how many of the times are ``CRASH_SPACING_MS`` apart."""
     count, last_ms = 0, float("-inf")
@@ -69,7 +96,9 @@
     "CRASH_SPACING_MS",
     "MAX_REQUEST_CRASHES",
     "MIN_REQUESTS",
+    "MIN_REQUESTS_WITHOUT",
     "MIN_WAITING_REQUESTS",
     "is_fatal",
     "is_fatal_request",
+    "needs_companion",
 ]
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -8,9 +8,11 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from heapq import nsmallest
+from itertools import chain
 from math import inf
 from typing import TYPE_CHECKING, Protocol
 
+import msgspec
 from loguru import logger
 
 from hemlockhall_router.membership.message import (
@@ -25,12 +27,14 @@
     MIN_REQUESTS,
     is_fatal,
     is_fatal_request,
+    needs_companion,
 )
+from hemlockhall_router.process.dialect import MAX_LOGGED_SEGMENTS
 from hemlockhall_router.process.setting import QuarantineSection
 from hemlockhall_router.request.failure import decode_value
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable, Sequence
 
     from hemlockhall_router.membership.clock import SharedClock
     from hemlockhall_router.membership.share import Shares
@@ -63,6 +67,8 @@
 MAX_NEWS = 256
 MAX_REQUEST_NEWS = 1024
 MAX_EVIDENCE_SENT = 4
+# Segments in the prompts of the evidence of one message, apart from the first prompt.
+MAX_SEGMENTS_SENT = 8
 MAX_ENDED_SENT = 8
 # How often a request is told for each endpoint that ended under it: some messages are
 # lost.
@@ -164,7 +170,8 @@
 
     A crash is evidence against each segment of the prompt that no endpoint has served
     since, and against the content of the request until an endpoint has completed a
-    request with it. Hosts send each other evidence and verdicts; any of them may reach
+    request with it. Segments that came together in all crashed requests are refused
+    only together. Hosts send each other evidence and verdicts; any of them may reach
     one.
 
     Parameters
@@ -226,9 +233,10 @@
         if not self._verdicts or not self.cfg.enabled:
             return None
         now_ms = self._now_ms()
-        for key in suspect_keys(request):
+        keys = suspect_keys(request)
+        for key in keys:
             verdict = self._verdicts.get(key)
-            if verdict is None or not verdict.item.quarantined:
+            if verdict is None or not self._applies(verdict.item, keys):
                 continue
             if now_ms < verdict.item.expires_at_ms:
                 return verdict.item
@@ -254,19 +262,23 @@
         if not self.cfg.enabled:
             return True
         own = request_key(request)
+        keys = segment_keys(request)
         limits = PROVEN_CRASHES
         evidence = 0
         quarantined = False
-        for key in segment_keys(request):
+        for key in keys:
             verdict = self._verdicts.get(key)
-            quarantined = quarantined or (
-                verdict is not None and verdict.item.quarantined
-            )
+            applies = verdict is not None and self._applies(verdict.item, keys)
+            quarantined = quarantined or applies
             if key not in self._served:
                 limits = min(limits, UNPROVEN_CRASHES)
             suspect = self._suspects.get(key)
-            counting = self._counting(suspect) if suspect is not None else []
-            evidence += sum(item.item.request != own for item in counting)
+            for item in self._counting(suspect) if suspect is not None else ():
+                if verdict is not None and not applies:
+                    if self._applies(verdict.item, item.item.prompt):
+                        # It is known to crash for a companion that is not here.
+                        continue
+                evidence += item.item.request != own
         if evidence:
             limits = SUSPECTED_CRASHES
         responded, waiting = limits
@@ -363,8 +375,9 @@
         if served:
             return
         keys = sorted(segment_keys(request), key=lambda key: key in self._served)
-        for key in keys[:MAX_PROMPT_SUSPECTS]:
-            self._add(CrashEvidence(key, service, crash, own, at_ms, responded))
+        prompt = tuple(keys[:MAX_PROMPT_SUSPECTS])
+        for key in prompt:
+            self._add(CrashEvidence(key, service, crash, own, at_ms, responded, prompt))
 
     def apply(
         self,
@@ -378,11 +391,13 @@
                 item = CrashEvidence(key, 0, crash.crash, key, crash.at_ms, False)
                 self._add(item, own=True)
         for item in evidence:
-            served_ms = self._served.get(item.segment, -1)
-            if served_ms >= item.at_ms:
-                # The host that tells it does not know that.
-                self._clear(item.segment, served_ms)
-            self._add(item)
+            prompt = item.prompt[:MAX_PROMPT_SUSPECTS] or (item.segment,)
+            for key in prompt:
+                served_ms = self._served.get(key, -1)
+                if served_ms >= item.at_ms:
+                    # The host that tells it does not know that.
+                    self._clear(key, served_ms)
+                self._add(msgspec.structs.replace(item, segment=key, prompt=prompt))
         for item in verdicts:
             if item.clears:
                 self._clear(item.segment, item.decided_at_ms)
@@ -420,7 +435,8 @@
     def evidence(self) -> list[CrashEvidence]:
         """Return the evidence to tell other hosts now, ``MAX_EVIDENCE_SENT`` at most.
 
-        All that is new gets its turn; that with more crashes gets more of them.
+        Each item is against all suspected segments of a prompt. All that is new gets
+        its turn; that with more crashes gets more of them.
         """
         news = []
         for item in self._news:
@@ -432,10 +448,37 @@
             rank = (item.sent // weight, -weight, -item.item.at_ms)
             news.append((rank, item))
         news.sort(key=lambda entry: entry[0])
+        found: dict[tuple[int, int], CrashEvidence] = {}
+        segments = 0
+        for _, entry in news:
+            item = entry.item
+            name = (item.crash, item.request)
+            if name in found:
+                continue
+            against = self._suspected(item)
+            segments += len(against)
+            if found and segments > MAX_SEGMENTS_SENT:
+                break
+            for known in against:
+                known.sent += 1
+            prompt = tuple(known.item.segment for known in against)
+            found[name] = msgspec.structs.replace(
+                item, prompt=prompt if len(prompt) > 1 else ()
+            )
+            if len(found) == MAX_EVIDENCE_SENT:
+                break
+        return list(found.values())
+
+    def _suspected(self, item: CrashEvidence) -> list[_Evidence]:
+        """Return the evidence of the same crash that is left against the prompt."""
         found = []
-        for _, item in news[:MAX_EVIDENCE_SENT]:
-            item.sent += 1
-            found.append(item.item)
+        for key in item.prompt:
+            suspect = self._suspects.get(key)
+            if suspect is None:
+                continue
+            entry = suspect.evidence.get((item.crash, item.request))
+            if entry is not None:
+                found.append(entry)
         return found
 
     def ended_requests(self) -> list[EndedRequests]:
@@ -546,24 +589,40 @@
             found.append(item)
         return found
 
+    def _served_since(self, key: int, at_ms: int) -> bool:
+        """Return whether a host is known to have served a segment at a time or later.
+
+        Other hosts may not have heard of it yet.
+        """
+        if self._served.get(key, -1) >= at_ms:
+            return True
+        verdict = self._verdicts.get(key)
+        if verdict is not None and not verdict.item.quarantined:
+            if verdict.item.decided_at_ms >= at_ms:
+                return True
+        cleared = self._cleared.get(key)
+        return cleared is not None and cleared.item.decided_at_ms >= at_ms
+
+    def _applies(self, verdict: SegmentVerdict, keys: Collection[int]) -> bool:
+        """Return whether a quarantine is one of a prompt with these segments."""
+        if not verdict.quarantined or verdict.segment not in keys:
+            return False
+        for companion in verdict.companions:
+            if companion in keys or self._served_since(companion, verdict.since_ms):
+                continue
+            return False
+        return True
+
     def _add(self, item: CrashEvidence, *, own: bool = False) -> None:
         """Add evidence; with ``own`` against the content of the request."""
         now_ms = self._now_ms()
-        served_ms = self._served.get(item.segment)
-        if served_ms is not None and served_ms >= item.at_ms:
+        if self._served_since(item.segment, item.at_ms):
             return
         if now_ms - item.at_ms > EVIDENCE_TTL_MS:
             return
-        verdict = self._verdicts.get(item.segment)
-        if verdict is not None and not verdict.item.quarantined:
-            # Another host may not have heard of the release yet.
-            if item.at_ms <= verdict.item.decided_at_ms:
-                return
-        cleared = self._cleared.get(item.segment)
-        if cleared is not None and item.at_ms <= cleared.item.decided_at_ms:
-            return
         counts_from_ms = item.at_ms
         if not own:
+            served_ms = self._served.get(item.segment)
             if served_ms is not None and item.at_ms - served_ms < SERVED_RECENTLY_MS:
                 counts_from_ms += SERVED_WAIT_MS
             elif item.responded:
@@ -607,9 +666,13 @@
             return
         since_ms = min(item.at_ms for item in evidence)
         if self._is_tried(key):
-            ended_ms = self._verdicts[key].item.expires_at_ms
+            verdict = self._verdicts[key].item
+            ended_ms = verdict.expires_at_ms
+            if now_ms < ended_ms:
+                self._narrow(verdict, evidence, now_ms)
+                return
             # One crash during a trial is enough.
-            if now_ms < ended_ms or max(item.at_ms for item in evidence) < ended_ms:
+            if max(item.at_ms for item in evidence) < ended_ms:
                 return
         elif own:
             if not is_fatal_request(evidence):
@@ -620,17 +683,57 @@
             # While no request of the service is served, nothing tells the segment from
             # the others. Any that was served since had other segments.
             return
+        companions = self._companions(key, evidence, since_ms)
         self._metrics.count("verdicts", "quarantined")
         logger.warning(
             "request quarantined" if own else "prompt segment quarantined",
             segment=f"{key:016x}",
+            companions=_logged_keys(companions),
             crashes=len({item.crash for item in evidence}),
             requests=len({item.request for item in evidence}),
             since_ms=now_ms - since_ms,
             seconds=self.cfg.hold_s,
         )
         expires_ms = now_ms + self._hold_ms
-        self._set(SegmentVerdict(key, since_ms, now_ms, expires_ms))
+        self._set(SegmentVerdict(key, since_ms, now_ms, expires_ms, companions))
+        self._urgent = True
+        self.on_verdict()
+
+    def _companions(
+        self, key: int, evidence: Sequence[CrashEvidence], since_ms: int
+    ) -> tuple[int, ...]:
+        """Return the segments without which one is not known to crash endpoints."""
+        found = []
+        for other in dict.fromkeys(chain.from_iterable(i.prompt for i in evidence)):
+            if other == key or self._served_since(other, since_ms):
+                continue
+            if needs_companion(other, evidence):
+                found.append(other)
+        return tuple(found[:MAX_PROMPT_SUSPECTS])
+
+    def _narrow(
+        self, verdict: SegmentVerdict, evidence: Sequence[CrashEvidence], now_ms: int
+    ) -> None:
+        """Quarantine a segment without the companions that are not needed."""
+        companions = []
+        for other in verdict.companions:
+            if needs_companion(other, evidence):
+                companions.append(other)
+        if len(companions) == len(verdict.companions):
+            return
+        self._metrics.count("verdicts", "narrowed")
+        logger.warning(
+            "quarantine narrowed",
+            segment=f"{verdict.segment:016x}",
+            companions=_logged_keys(companions),
+            crashes=len({item.crash for item in evidence}),
+        )
+        decided_ms = max(now_ms, verdict.decided_at_ms + 1)
+        self._set(
+            msgspec.structs.replace(
+                verdict, decided_at_ms=decided_ms, companions=tuple(companions)
+            )
+        )
         self._urgent = True
         self.on_verdict()
 
@@ -643,9 +746,7 @@
         # The settings or the clock of the other host may differ.
         latest_ms = now_ms + self._hold_ms
         if item.expires_at_ms > latest_ms:
-            item = SegmentVerdict(
-                item.segment, item.since_ms, item.decided_at_ms, latest_ms
-            )
+            item = msgspec.structs.replace(item, expires_at_ms=latest_ms)
         if self.is_over(item):
             return
         if item.quarantined and self._served.get(item.segment, 0) > item.since_ms:
@@ -711,7 +812,7 @@
             if stream.first_event_seen or stream.resumed:
                 # Its caller has events, so it is not given up.
                 continue
-            if item.segment in stream.segment_keys:
+            if self._applies(item, stream.segment_keys):
                 stream.request_move("a quarantine of its prompt or content")
 
     def _may_try(self, verdict: _Verdict, now_ms: int) -> bool:
@@ -769,6 +870,11 @@
     return request.key
 
 
+def _logged_keys(keys: Sequence[int]) -> list[str]:
+    """Return the first keys, as written in log lines."""
+    return [f"{key:016x}" for key in keys[:MAX_LOGGED_SEGMENTS]]
+
+
 def suspect_keys(request: RoutedRequest) -> tuple[int, ...]:
     """Return the keys of the content and the shared segments of a request."""
     return (*segment_keys(request), request_key(request))
--- a/tests/router/test_verdict.py
+++ b/tests/router/test_verdict.py
@@ -12,6 +12,7 @@
 from hemlockhall_router.policy.crash import (
     MAX_REQUEST_CRASHES,
     MIN_REQUESTS,
+    MIN_REQUESTS_WITHOUT,
     MIN_WAITING_REQUESTS,
 )
 from hemlockhall_router.process.dialect import PromptSegments
@@ -446,6 +447,109 @@
         assert len(keys) == 8
 
 
+class TestCompanions:
+    """A segment that came with another one in all requests that crashed endpoints."""
+
+    def quarantine_both(self, fleet: Fleet) -> None:
+        for _ in range(MIN_REQUESTS):
+            fleet.crash("rare", "bad")
+            fleet.serve("base")
+            fleet.advance()
+        assert fleet.refused("rare", "bad")
+
+    def test_only_requests_with_both_are_refused(self, fleet: Fleet) -> None:
+        """Guards against a sound segment that is refused for what came with it."""
+        self.quarantine_both(fleet)
+        assert fleet.refused("base", "bad", "other", "rare")
+        assert not fleet.refused("rare")
+        assert not fleet.refused("bad")
+        assert not fleet.refused("base", "rare")
+
+    def test_one_that_is_served_leaves_the_other_alone(self, fleet: Fleet) -> None:
+        """Guards against a fatal segment that may come without its companion, though
+        that was found harmless."""
+        self.quarantine_both(fleet)
+        fleet.serve("rare")
+        assert fleet.refused("bad")
+        assert fleet.refused("rare", "bad")
+        assert not fleet.refused("rare")
+
+    def test_one_that_was_served_between_the_crashes_is_none(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.crash("rare", "bad")
+        fleet.advance()
+        fleet.serve("rare")
+        for _ in range(MIN_REQUESTS - 1):
+            fleet.crash("rare", "bad")
+            fleet.serve("base")
+            fleet.advance(SERVED_WAIT_MS / 1000)
+        assert fleet.refused("bad")
+
+    def test_crashes_without_the_companion_narrow_it(self, fleet: Fleet) -> None:
+        """Guards against a fatal segment that is sent on as its first requests had
+        another one in common."""
+        self.quarantine_both(fleet)
+        for number in range(MIN_REQUESTS_WITHOUT):
+            assert not fleet.refused("bad")
+            fleet.crash("bad", f"other-{number}")
+            fleet.advance()
+        assert fleet.refused("bad")
+        assert not fleet.refused("rare")
+
+    def test_one_crash_of_another_request_does_not_narrow_it(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against a sound request that was at an endpoint which a fatal one, or
+        a power cut, ended."""
+        self.quarantine_both(fleet)
+        fleet.crash("rare", "other", endpoint=99)
+        fleet.crash("rare", "another", endpoint=99)
+        for number in range(100, 110):
+            fleet.crash("rare", "bad", endpoint=number)
+            fleet.crash("rare", "other", endpoint=number)
+            fleet.advance()
+        assert not fleet.refused("rare")
+
+    def test_different_companions_are_none(self, fleet: Fleet) -> None:
+        for number in range(MIN_REQUESTS):
+            fleet.crash(f"rare-{number}", "bad")
+            fleet.serve("base")
+            fleet.advance()
+        assert fleet.refused("bad")
+
+    def test_a_sound_request_is_repeated_beside_the_verdict(self, fleet: Fleet) -> None:
+        """Guards against a sound request that is given up after one crash, as others
+        with one of its segments are in quarantine."""
+        fleet.serve("rare")
+        fleet.advance(20.0)
+        self.quarantine_both(fleet)
+        one = crash_count(1)
+        assert fleet.quarantine.may_repeat(fleet.request("rare"), one)
+        assert not fleet.quarantine.may_repeat(fleet.request("rare", "bad"), one)
+
+    def test_another_host_applies_the_same(self, fleet: Fleet) -> None:
+        self.quarantine_both(fleet)
+        other = make_quarantine(make_directory())
+        other.apply([], fleet.quarantine.known())
+        assert other.refusal(fleet.request("rare", "bad")) is not None
+        assert other.refusal(fleet.request("rare")) is None
+
+    def test_another_host_decides_the_same(self, fleet: Fleet) -> None:
+        """Guards against evidence that names one segment of a prompt only, so that a
+        host takes it for the only one."""
+        other = make_quarantine(make_directory())
+        for _ in range(MIN_REQUESTS):
+            fleet.crash("rare", "bad")
+            other.apply(fleet.quarantine.evidence(), [])
+            other.record_served(fleet.request("base"))
+            fleet.advance()
+            other.update()
+        assert len(other.known()) == 2
+        assert other.refusal(fleet.request("rare", "bad")) is not None
+        assert other.refusal(fleet.request("rare")) is None
+
+
 class TestBounds:
     def test_state_and_messages_are_bounded_and_a_fatal_segment_is_found(
         self, fleet: Fleet
