Take turns with what a message cannot hold, also for layers and endpoints that are down

Cause: a message has 16 changes of layers at most, and always the first ones; so has the list of endpoints that are down, and that of those presumed to drain. Endpoints that leave, and limits, were told in turns, one a round; but other data centres get a summary in each second round, so with 32 of them they were told the same half each time. A list that is cut was taken for the whole, and turns for messages that each host gets.

Evidence: test_turns.py on, nine cases fail.

All of these lists take turns now, whose cycles begin half a turn later each time, so that a host that gets each second one gets all. test_turns.py and test_turn.py pass, limits and leaving as before.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -48,6 +48,7 @@
     sum_loads,
     sum_usage,
 )
+from hemlockhall_router.membership.turn import take_turn
 from hemlockhall_router.process.setting import RetrySection
 
 if TYPE_CHECKING:
@@ -67,8 +68,8 @@
 SUMMARY_ROUNDS = 2
 # Limits of one message. ``MAX_ENDPOINT_KEYS`` holds for each list of endpoints, those
 # that are down and those presumed draining. Keys and layer updates beyond the limits
-# are left out. Contacts beyond the limit are sent in later messages; the hubs of the
-# receiver's data centre are sent besides ``MAX_CONTACTS``.
+# are sent in later rounds, contacts in later messages; the hubs of the receiver's data
+# centre are sent besides ``MAX_CONTACTS``.
 MAX_CONTACTS = 10
 MAX_ENDPOINT_KEYS = 16
 MAX_LAYER_UPDATES = 16
@@ -436,9 +437,9 @@
             sender=self.own,
             table_versions=self._get_table_versions(),
             loads=busiest(state.loads),
-            down=state.down[:MAX_ENDPOINT_KEYS],
-            presumed_draining=state.presumed_draining[:MAX_ENDPOINT_KEYS],
-            layer_updates=state.layer_updates[:MAX_LAYER_UPDATES],
+            down=self._select_keys(state.down),
+            presumed_draining=self._select_keys(state.presumed_draining),
+            layer_updates=self._select_layer_updates(),
             contacts=[],
             fence=state.fence,
             store_stable=state.store_stable,
@@ -477,9 +478,9 @@
             sender=self.own,
             table_versions=self._get_table_versions(),
             loads=busiest(sum_loads(loads).values()),
-            down=_unique_keys(down),
-            presumed_draining=_unique_keys(presumed_draining),
-            layer_updates=state.layer_updates[:MAX_LAYER_UPDATES],
+            down=self._select_keys(down),
+            presumed_draining=self._select_keys(presumed_draining),
+            layer_updates=self._select_layer_updates(),
             contacts=self._select_contacts(receiver.data_centre, receiver.name, now),
             data_centres=self._known_data_centres(now),
             clock_ms=self.shared_clock.now_ms(),
@@ -508,6 +509,7 @@
             down += received.message.down
             presumed_draining += received.message.presumed_draining
         loads = busiest(sum_loads(loads).values())
+        layer_updates = self._select_layer_updates()
         figures = sum_sources(self._own_sources(now), now)
         retries = self.retry_history.data_centre_records(self._local_state.retries)
         for name in self.roster.data_centres(now):
@@ -518,9 +520,9 @@
                     sender=self.own,
                     table_versions=self._get_table_versions(),
                     loads=loads,
-                    down=_unique_keys(down),
-                    presumed_draining=_unique_keys(presumed_draining),
-                    layer_updates=self._local_state.layer_updates[:MAX_LAYER_UPDATES],
+                    down=self._select_keys(down),
+                    presumed_draining=self._select_keys(presumed_draining),
+                    layer_updates=layer_updates,
                     contacts=self._select_contacts(name, contact.name, now),
                     data_centre=data_centre,
                     clock_ms=self.shared_clock.now_ms(),
@@ -538,6 +540,16 @@
                 )
                 self._send(contact.address, message)
 
+    def _select_keys(self, keys: list[int]) -> list[int]:
+        """Return the distinct keys to send in this round."""
+        unique = list(dict.fromkeys(keys))
+        return take_turn(unique, MAX_ENDPOINT_KEYS, self._round_number)
+
+    def _select_layer_updates(self) -> list[LayerUpdate]:
+        """Return the changes of layers to send in this round."""
+        updates = self._local_state.layer_updates
+        return take_turn(updates, MAX_LAYER_UPDATES, self._round_number)
+
     def _select_contacts(
         self, data_centre: str, receiver: str, now: float
     ) -> list[Contact]:
@@ -811,11 +823,6 @@
     return sum(data_centre.hosts for data_centre in message.data_centres)
 
 
-def _unique_keys(keys: list[int]) -> list[int]:
-    """Return the distinct keys, at most ``MAX_ENDPOINT_KEYS`` of them."""
-    return list(dict.fromkeys(keys))[:MAX_ENDPOINT_KEYS]
-
-
 __all__ = [
     "Exchange",
     "LocalState",
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -16,6 +16,7 @@
     endpoint_key,
 )
 from hemlockhall_router.membership.tally import MAX_EVENT_AGE_MS
+from hemlockhall_router.membership.turn import take_turn
 from hemlockhall_router.policy.endpoint_rate import (
     average_s,
     is_fresh,
@@ -280,7 +281,7 @@
         # Endpoints that stated that they leave, and how long that is remembered. They
         # are kept apart from the records, as entries may lapse and come back.
         self._stated_leaving: dict[LeavingNotice, float] = {}
-        self._notice_offset = 0
+        self._notice_turn = 0
 
     def apply_rows(self, rows: list[Row]) -> None:
         """Apply changed rows of the endpoint table."""
@@ -679,12 +680,8 @@
             notice = LeavingNotice(record.key, record.endpoint.started_ms)
             if notice in self._stated_leaving and not record.endpoint.draining:
                 found.append(notice)
-        if len(found) <= MAX_NOTICES:
-            return found
-        self._notice_offset = (self._notice_offset + MAX_NOTICES) % len(found)
-        return (found[self._notice_offset :] + found[: self._notice_offset])[
-            :MAX_NOTICES
-        ]
+        self._notice_turn += 1
+        return take_turn(found, MAX_NOTICES, self._notice_turn)
 
     def may_send(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint that was chosen before may still get a request."""
--- a/packages/router/src/hemlockhall_router/process/limits.py
+++ b/packages/router/src/hemlockhall_router/process/limits.py
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from hemlockhall_router.membership.message import RequestLimit, endpoint_key
+from hemlockhall_router.membership.turn import take_turn
 from hemlockhall_router.policy.permit import PermitSchedule
 from hemlockhall_router.process.setting import LimitsSection
 
@@ -155,7 +156,7 @@
         self._requested_at: deque[float] = deque()
         self._level = 0
         self._level_deadline = 0.0
-        self._offset = 0
+        self._turn = 0
         self._waiting: deque[anyio.Event] = deque()
         self._started_at = self._issued_at = clock()
         self._issued_until = 0.0
@@ -198,10 +199,8 @@
         """
         found = [limited.statement for limited in self._limited.values()]
         found = [*self._ended.values(), *found]
-        if len(found) <= MAX_LIMITS:
-            return found
-        self._offset = (self._offset + MAX_LIMITS) % len(found)
-        return (found[self._offset :] + found[: self._offset])[:MAX_LIMITS]
+        self._turn += 1
+        return take_turn(found, MAX_LIMITS, self._turn)
 
     def record_request(self) -> None:
         """Count a request of a caller, whether or not an endpoint has a limit now."""
