Keep what another writer left in one row from ending a process or hiding a list

What operators saw elsewhere: one odd entry among those of the servers, nested deeply, with a number too large or a port out of range; the machines that read the list ended again and again, or stopped following it.

It can happen here, in the daemon. The host list is decoded as a whole: an entry without a state, or nested deeper than the decoder goes, and all of it counts as lost, so endpoints that leave still get requests. The rows of the document, of its history and of claims are converted outside of a decoding block: a row that holds something else ends the entry host or side process at each read. So does a section that is no document, and a digest that makes no path. The router decodes rows one by one; its tests of odd entries pass as they are.

Now lists are decoded entry by entry once decoding all fails, split without a decoder's recursion; a row has one method to decode its value, whose error is one of the platform, which every reader handles; a version that is no document leaves the last one in force; digests and versions have ranges. The status of a process moves to core, where the command line can read it, too.

--- a/packages/core/src/hemlockhall_core/process/error.py
+++ b/packages/core/src/hemlockhall_core/process/error.py
@@ -26,6 +26,10 @@
     """The outcome of a call is not known: the store may have written."""
 
 
+class RowError(PlatformError):
+    """A row holds something else than its readers expect."""
+
+
 class StoreConflictError(PlatformError):
     """A checked row does not have the expected version; nothing was written."""
 
@@ -36,6 +40,7 @@
 
 __all__ = [
     "PlatformError",
+    "RowError",
     "SettingsError",
     "StoreConflictError",
     "StoreUnavailableError",
--- a/packages/core/src/hemlockhall_core/process/table.py
+++ b/packages/core/src/hemlockhall_core/process/table.py
@@ -9,9 +9,11 @@
 
 import httpx
 import msgspec
+from loguru import logger
 
-from hemlockhall_core.connection.decoding import DecodeError, decoding
+from hemlockhall_core.connection.decoding import DecodeError, decoding, split_list
 from hemlockhall_core.process.error import (
+    RowError,
     StoreConflictError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -39,6 +41,14 @@
     value: Any
     version: int
 
+    def decode(self, value_type: type[T]) -> T:
+        """Return the value; raise ``RowError`` if it is something else."""
+        try:
+            with decoding(f"row {self.key}"):
+                return msgspec.convert(self.value, value_type)
+        except DecodeError as exc:
+            raise RowError(f"{exc}; write the row anew, or remove it") from exc
+
 
 class Check(msgspec.Struct):
     """Precondition: the row has this version; 0 means that it does not exist."""
@@ -169,6 +179,35 @@
         raise StoreOutcomeUnknownError(str(exc)) from exc
 
 
+def _decode_list(content: bytes, entry_type: type[T]) -> list[T]:
+    """Return the entries of a list, without those that cannot be decoded."""
+    try:
+        return _decode(content, list[entry_type])
+    except StoreOutcomeUnknownError:
+        entries = _split(content)
+    found = []
+    for entry in entries:
+        try:
+            found.append(_decode(entry, entry_type))
+        except StoreOutcomeUnknownError:
+            continue
+    logger.warning(
+        "{} of {} entries left out: they cannot be decoded as {}",
+        len(entries) - len(found),
+        len(entries),
+        entry_type.__name__,
+    )
+    return found
+
+
+def _split(content: bytes) -> list[bytes]:
+    """Return the entries of a list; one that cannot be split counts as lost."""
+    try:
+        return split_list(content)
+    except DecodeError as exc:
+        raise StoreOutcomeUnknownError(str(exc)) from exc
+
+
 class Table(HttpStore):
     """Client of the transactional table service."""
 
@@ -180,10 +219,13 @@
         return _decode(response.content, Row)
 
     async def scan(self, prefix: str, limit: int = 100) -> list[Row]:
-        """Return the last ``limit`` rows with a key prefix, highest key first."""
+        """Return the last ``limit`` rows with a key prefix, highest key first.
+
+        Those that cannot be decoded are left out.
+        """
         params = {"prefix": prefix, "limit": str(limit)}
         response = await self._request("GET", "/rows", params=params)
-        return _decode(response.content, list[Row])
+        return _decode_list(response.content, Row)
 
     async def commit(self, transaction: Transaction) -> int:
         """Apply a transaction; return the new version of its rows.
@@ -231,9 +273,9 @@
     """Client of the platform's host list, which may be out of date."""
 
     async def read(self) -> list[Host]:
-        """Return the current list."""
+        """Return the current list, without entries that cannot be decoded."""
         response = await self._request("GET", "/hosts")
-        return _decode(response.content, list[Host])
+        return _decode_list(response.content, Host)
 
 
 __all__ = [
--- a/packages/core/src/hemlockhall_core/version/document_cache.py
+++ b/packages/core/src/hemlockhall_core/version/document_cache.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.connection.message import (
     DocumentRequest,
     DocumentText,
@@ -81,7 +82,7 @@
         """Put a higher version in force; return whether that was done.
 
         ``texts`` are the texts of the missing sections, by digest. A version with
-        a missing text is not adopted.
+        a missing text is not adopted, nor one that is no document.
         """
         # A stale read, a paused process or an outdated peer may offer an old
         # version, which would make a removed endpoint receive requests again. All
@@ -96,7 +97,12 @@
             if section_digest not in known:
                 return False
             sections[name] = known[section_digest]
-        self.document = build(join(sections), version)
+        try:
+            with decoding("document"):
+                self.document = build(join(sections), version)
+        except DecodeError as exc:
+            logger.bind(version=version).warning("document not adopted: {}", exc)
+            return False
         self.digests = dict(digests)
         self._texts = sections
         self._metrics.set_document_version(version)
--- a/packages/core/src/hemlockhall_core/version/repository.py
+++ b/packages/core/src/hemlockhall_core/version/repository.py
@@ -11,11 +11,14 @@
 import random
 import secrets
 from datetime import UTC, datetime
+from typing import Annotated
 
 import anyio
 import msgspec
+from loguru import logger
 
 from hemlockhall_core.process.error import (
+    RowError,
     StoreConflictError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -37,6 +40,12 @@
 MAX_BACKOFF_S = 1.0
 
 
+# Exact as a floating-point number, too.
+Version = Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+# Names objects in paths.
+Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}\Z")]
+
+
 class Revision(msgspec.Struct):
     """An accepted version.
 
@@ -44,8 +53,8 @@
     submission and ``revision`` the submitter's own version control revision.
     """
 
-    version: int
-    digests: dict[str, str]
+    version: Version
+    digests: dict[str, Digest]
     submit: str
     who: str
     when: str
@@ -82,7 +91,7 @@
         row = await self._table.read(HEAD_KEY)
         if row is None:
             return EMPTY_REVISION
-        return msgspec.convert(row.value, Revision)
+        return row.decode(Revision)
 
     async def revision(self, version: int) -> Revision:
         """Return a version of the history."""
@@ -92,12 +101,18 @@
         if row is None:
             msg = f"no version {version} in the history; see 'hemlockhall history'"
             raise SubmitError(msg)
-        return msgspec.convert(row.value, Revision)
+        return row.decode(Revision)
 
     async def history(self, limit: int) -> list[Revision]:
-        """Return the newest versions, newest first."""
+        """Return the newest versions, newest first, without malformed rows."""
         rows = await self._table.scan(HISTORY_PREFIX, limit)
-        return [msgspec.convert(row.value, Revision) for row in rows]
+        found = []
+        for row in rows:
+            try:
+                found.append(row.decode(Revision))
+            except RowError as exc:
+                logger.warning("{}", exc)
+        return found
 
     async def sections(self, digests: dict[str, str]) -> dict[str, str]:
         """Return the texts of sections by name, given their digests by name."""
@@ -164,7 +179,7 @@
         vcs_revision: str,
     ) -> Revision | None:
         row = await self._table.read(HEAD_KEY)
-        head = msgspec.convert(row.value, Revision) if row else EMPTY_REVISION
+        head = row.decode(Revision) if row else EMPTY_REVISION
         await self._check_conflict(mine, old, head, changed)
         digests = dict(head.digests)
         for name in changed:
@@ -212,7 +227,11 @@
                 continue
             if row is None:
                 return None
-            found = msgspec.convert(row.value, Revision)
+            try:
+                found = row.decode(Revision)
+            except RowError:
+                # Another writer has taken the version.
+                return None
             return found if found.submit == submission_id else None
         msg = (
             "it is not known whether the submission was accepted; look for version "
--- a/packages/daemon/src/hemlockhalld/process/admin.py
+++ b/packages/daemon/src/hemlockhalld/process/admin.py
@@ -13,36 +13,11 @@
 
 if TYPE_CHECKING:
     from hemlockhall_core.process.metric import Metrics
+    from hemlockhall_core.process.status import Status
 
 Scope = dict[str, Any]
 
 
-class PeerStatus(msgspec.Struct):
-    """State of a peer, as known to this process; ``load`` in requests.
-
-    ``alive`` is set if the peer has sent a batch and is not considered dead.
-    """
-
-    name: str
-    version: int
-    state: str
-    alive: bool
-    load: int
-
-
-class Status(msgspec.Struct):
-    """Body of the response to ``/status``."""
-
-    name: str
-    role: str
-    data_centre: str
-    version: int
-    state: str
-    in_flight: int
-    peers: list[PeerStatus]
-    counters: dict[str, float]
-
-
 class ManagedProcess(Protocol):
     """Operations of a process that its administrative interface calls."""
 
@@ -180,8 +155,6 @@
 
 __all__ = [
     "Admin",
-    "PeerStatus",
-    "Status",
     "handle_lifespan",
     "send_response",
     "serve_http",
--- a/packages/daemon/src/hemlockhalld/process/base.py
+++ b/packages/daemon/src/hemlockhalld/process/base.py
@@ -14,8 +14,9 @@
 from hemlockhall_core.connection.message import DocumentRequest, DocumentText
 from hemlockhall_core.connection.peer import Timing
 from hemlockhall_core.process.metric import Metrics
+from hemlockhall_core.process.status import PeerStatus, Status
 from hemlockhall_core.version.document_cache import DocumentCache
-from hemlockhalld.process.admin import Admin, PeerStatus, Status, serve_http
+from hemlockhalld.process.admin import Admin, serve_http
 
 if TYPE_CHECKING:
     from hemlockhall_core.connection.message import AnyMessage
--- a/packages/daemon/src/hemlockhalld/process/calls.py
+++ b/packages/daemon/src/hemlockhalld/process/calls.py
@@ -12,6 +12,7 @@
 import httpx
 from loguru import logger
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.connection.message import CallRefused, CallResponse, Header
 from hemlockhall_core.process.error import PlatformError, StoreUnavailableError
 from hemlockhall_core.request.reason import Ran, RefusalReason
@@ -142,7 +143,13 @@
             return make_refused(
                 call, RefusalReason.IN_PROGRESS, Ran.UNKNOWN, detail, RETRY_AFTER_S
             )
-        body = base64.b64decode(claim.body)
+        try:
+            with decoding("response of a claim"):
+                body = base64.b64decode(claim.body, validate=True)
+        except DecodeError as exc:
+            return make_refused(
+                call, RefusalReason.IN_PROGRESS, Ran.UNKNOWN, str(exc), RETRY_AFTER_S
+            )
         return CallResponse(
             call.request, call.attempt, claim.status, claim.headers, body
         )
--- a/packages/daemon/src/hemlockhalld/request/claim.py
+++ b/packages/daemon/src/hemlockhalld/request/claim.py
@@ -111,7 +111,7 @@
             row = await self._table.read(key)
             if row is None:
                 return None
-            existing = msgspec.convert(row.value, Claim)
+            existing = row.decode(Claim)
             if existing.holder in self._abandoned.get(key, ()):
                 await self._delete_row(key, row)
                 return None
@@ -126,7 +126,7 @@
     async def read(self, key: str) -> Claim | None:
         """Return the claim of a key, or None."""
         row = await self._table.read(key)
-        return msgspec.convert(row.value, Claim) if row else None
+        return row.decode(Claim) if row else None
 
     async def release(self, key: str, claim: Claim) -> None:
         """Release the key of a call that was not made."""
@@ -180,7 +180,7 @@
         try:
             row = await self._table.read(key)
             if row is not None:
-                existing = msgspec.convert(row.value, Claim)
+                existing = row.decode(Claim)
                 if existing.holder in self._abandoned.get(key, ()):
                     await self._delete_row(key, row)
         except PlatformError:
--- a/tests/daemon/process/test_document_poller.py
+++ b/tests/daemon/process/test_document_poller.py
@@ -16,6 +16,7 @@
 from hemlockhall_core.version.document_cache import DocumentCache
 from hemlockhall_core.version.repository import HEAD_KEY, Repository
 from hemlockhall_core.version.text import digest
+from hemlockhall_standins.foreign import VALUES
 from hemlockhall_standins.virtual_time import VirtualClock, VirtualTimeLoop
 from hemlockhalld.process.document_poller import DocumentPoller
 
@@ -76,3 +77,48 @@
             elapsed_s = time.monotonic() - returned_at
             group.cancel_scope.cancel()
         assert elapsed_s <= IN_FORCE_S
+
+
+class TestForeignRows:
+    async def test_a_sound_document_is_adopted_after_odd_ones(self) -> None:
+        """Guards against an entry host that ends, again and again, as another writer
+        left something else in the row of the document or in its sections."""
+        sound = f'{{"priorities":"{digest(TEXT)}"}}'
+        foreign = [f'{{"key":"{HEAD_KEY}","value":{v},"version":1}}' for v in VALUES]
+        for value in ("1", "{}", '{"version":7}'):
+            foreign.append(f'{{"key":"{HEAD_KEY}","value":{value},"version":1}}')
+        fields = '"submit":"s","who":"w","when":"now"'
+        row = '{"key":"%s","value":{"version":%s,"digests":%s,%s},"version":1}'
+        for odd in ('{"priorities":"\\n"}', '{"priorities":1}', "[]", '{"x":"../y"}'):
+            foreign.append(row % (HEAD_KEY, 7, odd, fields))
+        foreign.append(row % (HEAD_KEY, "9" * 30, sound, fields))
+        sections = ["[", "priorities = 1", "[priorities.a]\nrank = []", "x" * 10_000]
+        sections.append("[priorities.a]\nrank = " + "[" * 3000)
+        for text in sections:
+            digests = f'{{"priorities":"{digest(text)}"}}'
+            foreign.append(row % (HEAD_KEY, 7, digests, fields))
+        texts = {digest(text): text for text in [*sections, TEXT]}
+        current = ""
+
+        def respond(request: httpx.Request) -> httpx.Response:
+            if request.url.path == f"/rows/{HEAD_KEY}":
+                return httpx.Response(200, text=current)
+            return httpx.Response(200, text=texts[request.url.path.split("/")[-1]])
+
+        table, objects = Table("http://store"), Objects("http://store")
+        for store in (table, objects):
+            store._client = httpx.AsyncClient(
+                base_url="http://store", transport=httpx.MockTransport(respond)
+            )
+        cache = DocumentCache(("priorities",), Metrics(), lambda: None)
+        poller = DocumentPoller(Repository(table, objects), cache, POLL_S)
+        async with anyio.create_task_group() as group:
+            group.start_soon(poller.run)
+            for current in foreign:  # noqa: B007
+                await anyio.sleep(2 * POLL_S)
+                assert cache.version == 0
+            current = row % (HEAD_KEY, 1, sound, fields)
+            with anyio.fail_after(60.0):
+                while cache.version != 1:
+                    await anyio.sleep(0.1)
+            group.cancel_scope.cancel()
