Report rows and responses that the command line cannot read

One odd row in the history, or a status that is no status, ended commands with a traceback, and one row kept the history from being listed. So did a first line with a version of 5,000 digits.

--- a/packages/cli/src/hemlockhall_cli/main.py
+++ b/packages/cli/src/hemlockhall_cli/main.py
@@ -7,15 +7,17 @@
 import re
 import time
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, TypeVar
 
 import anyio
 import click
 import httpx
 import msgspec
 
+from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.connection.message import DocumentText, SectionRef, SectionText
 from hemlockhall_core.process.error import PlatformError
+from hemlockhall_core.process.status import Status
 from hemlockhall_core.process.table import Objects, Table
 from hemlockhall_core.version.document import validate
 from hemlockhall_core.version.error import DocumentError, SubmitError
@@ -30,6 +32,7 @@
 T = TypeVar("T")
 BASE_VERSION_LINE = "# hemlockhall version {}"
 BASE_VERSION_PATTERN = re.compile(r"^# hemlockhall version (\d+)$", re.MULTILINE)
+MAX_VERSION_DIGITS = 15
 WATCH_INTERVAL_S = 0.5
 NOTIFY_TIMEOUT_S = 2.0
 
@@ -175,15 +178,18 @@
         if process_status is None:
             click.echo(f"{url}: no answer")
             continue
-        head = "{name} ({data_centre}): version {version}, {state}, "
         click.echo(
-            head.format(**process_status) + f"{process_status['in_flight']} in flight"
+            f"{process_status.name} ({process_status.data_centre}): "
+            f"version {process_status.version}, {process_status.state}, "
+            f"{process_status.in_flight} in flight"
         )
-        for peer in process_status["peers"]:
-            alive = "alive" if peer["alive"] else "dead"
-            line = "  {name}: version {version}, {state}, load {load}, "
-            click.echo(line.format(**peer) + alive)
-        for name, value in sorted(process_status["counters"].items()):
+        for peer in process_status.peers:
+            alive = "alive" if peer.alive else "dead"
+            click.echo(
+                f"  {peer.name}: version {peer.version}, {peer.state}, "
+                f"load {peer.load}, {alive}"
+            )
+        for name, value in sorted(process_status.counters.items()):
             click.echo(f"  {name} {value:g}")
 
 
@@ -230,7 +236,12 @@
 
 def _base_version(text: str) -> int:
     match = BASE_VERSION_PATTERN.search(text)
-    return int(match.group(1)) if match else 0
+    if match is None:
+        return 0
+    if len(match.group(1)) > MAX_VERSION_DIGITS:
+        msg = "the version in the first line is no version of the history; edit anew"
+        raise click.ClickException(msg)
+    return int(match.group(1))
 
 
 def _strip_base_version(text: str) -> str:
@@ -263,10 +274,13 @@
         raise click.ClickException(str(exc)) from exc
 
 
-def _read_status(url: str) -> dict[str, Any] | None:
+def _read_status(url: str) -> Status | None:
+    """Return the status of a process, None if it sends none that can be read."""
     try:
-        return httpx.get(f"{url}/status").json()
-    except httpx.HTTPError:
+        response = httpx.get(f"{url}/status")
+        with decoding("status"):
+            return msgspec.json.decode(response.content, type=Status)
+    except (httpx.HTTPError, DecodeError):
         return None
 
 
@@ -277,11 +291,9 @@
         if process_status is None:
             versions[url] = "no answer"
             continue
-        versions[process_status["name"]] = str(process_status["version"])
-        for peer in process_status["peers"]:
-            versions.setdefault(
-                peer["name"], str(peer["version"]) if peer["alive"] else "dead"
-            )
+        versions[process_status.name] = str(process_status.version)
+        for peer in process_status.peers:
+            versions.setdefault(peer.name, str(peer.version) if peer.alive else "dead")
     return "  ".join(f"{name}={version}" for name, version in sorted(versions.items()))
 
 
