Take a port out of range for an endpoint that cannot be reached

What callers saw: with an entry whose port is -1 or 99999 beside sound ones, requests got 500 from the host.

Cause: the client connects to whatever port the dialect returns. The platform's dialect rejects such entries, the stand-in's does not; anyio raises an error for them that is neither an OSError nor one of the connection's.

The client now refuses such a port itself, as a connection that failed. New rows (ports, 100,000 levels, invalid UTF-8, numbers of 5,000 digits) and pages of the platform's store with odd values among sound ones pass.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -13,7 +13,7 @@
 from anyio.abc import SocketAttribute
 
 from hemlockhall_router.connection.body import ENDPOINT_BODIES
-from hemlockhall_router.connection.decoding import decode_number
+from hemlockhall_router.connection.decoding import PORT_LIMIT, decode_number
 from hemlockhall_router.connection.error import (
     ConnectionLostError,
     ConnectRefusedError,
@@ -164,6 +164,8 @@
             If that fails; its subclass ``ConnectRefusedError`` if nothing
             listens there.
         """
+        if not 0 < port < PORT_LIMIT:
+            raise NotSentError(f"{host}:{port}: connection failed: no such port")
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
                 stream = await anyio.connect_tcp(host, port)
--- a/packages/router/src/hemlockhall_router/connection/decoding.py
+++ b/packages/router/src/hemlockhall_router/connection/decoding.py
@@ -68,6 +68,7 @@
     "Integer",
     "LayerNumber",
     "MAX_INTEGER",
+    "PORT_LIMIT",
     "decode_number",
     "decoding",
     "parse_address",
--- a/tests/platform/test_foreign.py
+++ b/tests/platform/test_foreign.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 from typing import Any
 
@@ -11,7 +12,7 @@
 from hypothesis import strategies as st
 
 from hemlockhall_platform.dialect import PlatformDialect
-from hemlockhall_platform.store import _decode_response
+from hemlockhall_platform.store import _decode_response, _decode_rows
 from hemlockhall_router.connection.message import RequestHead, ResponseHead
 from hemlockhall_router.membership.message import LayerUpdate, Load, endpoint_key
 from hemlockhall_router.process.dialect import DecodeError, TokenCounts
@@ -166,6 +167,35 @@
         msgspec.msgpack.encode((report.queued, report.active, report.memory_used))
 
 
+class TestPages:
+    @pytest.mark.parametrize(
+        "value",
+        [
+            "",
+            "=",
+            "e",
+            "\u00e4",
+            base64.b64encode(b"\xff\xfe").decode(),
+            base64.b64encode(NESTED).decode(),
+            base64.b64encode(b"[" * 100_000).decode(),
+            base64.b64encode(json.dumps({**ENTRY, "slots": 10**30}).encode()).decode(),
+            base64.b64encode(json.dumps({**ENTRY, "address": 7}).encode()).decode(),
+        ],
+    )
+    def test_the_entries_beside_an_odd_one_are_used(self, value: str) -> None:
+        """Guards against a page of the store that is lost for one value in it."""
+        sound = base64.b64encode(json.dumps(ENTRY).encode()).decode()
+        rows = []
+        for key, text in (("a", sound), ("b", value), ("c", sound)):
+            rows.append({**ROWS["rows"][0], "key": key, "value": text})
+        raw = json.dumps({**ROWS, "rows": rows}).encode()
+        used = []
+        for row in _decode_rows(_decode_response(raw).rows):
+            if PlatformDialect().decode_endpoint(row.key, row.value) is not None:
+                used.append(row.key)
+        assert used == ["a", "c"]
+
+
 class TestStoreResponses:
     @given(foreign_documents(ROWS))
     @example(json.dumps(ROWS).encode()[:-1] + b',"unknown":%b}' % NESTED)
--- a/tests/router/test_foreign.py
+++ b/tests/router/test_foreign.py
@@ -71,6 +71,8 @@
         covered_ms=5,
     )
 )
+# More than any limit of the interpreter.
+DEEPEST = 100_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
 # Decoders skip a field that they do not know, however it is made.
 NESTED_FIELD = b'{"unknown":%b}' % NESTED
@@ -81,6 +83,12 @@
     b'{"address":"1.2.3.4:%b"}' % (b"8" * 5000),
     b"\xff",
     b"",
+    b'{"unknown":%b}' % (b"[" * DEEPEST + b"]" * DEEPEST),
+    b'{"service":"desk","port":0}',
+    b'{"service":"desk","port":99999}',
+    b'{"service":"desk","port":-1}',
+    b'{"service":"desk","port":%b}' % (b"8" * 5000),
+    b'{"service":"\xff","port":1}',
 ]
 # Lists in MessagePack: lists with one entry, and the innermost without any.
 NESTED_MSGPACK = msgspec.Raw(b"\x91" * DEPTH + b"\x90")
