Take turns with contacts for each receiver

What operators would see: with 23 hosts in a data centre, or 46 in two, some slots of limits, permits and trials have two owners, so a limit is exceeded.

Cause: a message has ten contacts, and the next message the next ten, whoever gets it. A hub answers its hosts in the same order each round; with a number of hosts that divides the turns, each host gets the same ten contacts every time, and never hears of the others.

Evidence: test_turns.py, TestContacts, on: 5 of 8 cases fail; at 23 hosts some had heard of 16 of the 22 others, the rest never since the start.

Each receiver has turns of its own now.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from math import ceil
 from typing import TYPE_CHECKING, Generic, TypeVar
@@ -182,7 +183,8 @@
         self._summaries: dict[tuple[str, str], _Received[Summary]] = {}
         self._round_number = 0
         self._push_pending = False
-        self._contact_offset = 0
+        # By the names of their receivers.
+        self._contact_turns: Counter[str] = Counter()
         self._next_reconnect_at = 0.0
 
     @property
@@ -563,12 +565,9 @@
             if contact.name == receiver:
                 continue
             (hub_contacts if contact.name in hubs else others).append(contact)
-        if len(others) > MAX_CONTACTS:
-            self._contact_offset = (self._contact_offset + MAX_CONTACTS) % len(others)
-            others = (others[self._contact_offset :] + others[: self._contact_offset])[
-                :MAX_CONTACTS
-            ]
-        return hub_contacts + others
+        turn = self._contact_turns[receiver]
+        self._contact_turns[receiver] += 1
+        return hub_contacts + take_turn(others, MAX_CONTACTS, turn)
 
     def _known_data_centres(self, now: float) -> list[DataCentre]:
         """Return the data centres to pass on.
@@ -811,6 +810,7 @@
                     logger.info("host silent", host=received.message.sender.name)
         for contact in self.roster.forget(now):
             self._false_figures_of.discard(contact.name)
+            del self._contact_turns[contact.name]
             logger.info("host forgotten", host=contact.name, address=contact.address)
 
 
--- a/tests/router/membership/test_turns.py
+++ b/tests/router/membership/test_turns.py
@@ -23,6 +23,10 @@
 SIZES = [(4, 3), (25, 3)]
 # Multiples of what a message holds, and other numbers.
 COUNTS = [16, 32, 40]
+# Hosts and data centres with more hosts than a message has contacts.
+LARGE_SIZES = [(23, 1), (24, 1), (44, 2), (46, 2)]
+# Slots that the hosts share out.
+SLOTS = 300
 STARTED_MS = 1
 OLD_LAYERS = LayerRange(0, 20)
 NEW_LAYERS = LayerRange(20, 60)
@@ -127,3 +131,33 @@
         fleet.witness.limits.apply(limits)
         fleet.run(KNOWN_S)
         fleet.assert_told("limits")
+
+
+@pytest.mark.parametrize(("hosts", "data_centres"), LARGE_SIZES)
+class TestContacts:
+    def test_hosts_of_a_data_centre_hear_of_each_other(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        """Guards against a host that never hears of some others, as each message to it
+        has the same contacts."""
+        network = Network(hosts, data_centres, seed=hosts)
+        network.run(START_S + 2 * KNOWN_S)
+        for host in network.live():
+            heard = set()
+            for member in host.exchange.roster.members.values():
+                if network.now - member.last_seen_at < KNOWN_S:
+                    if member.contact.data_centre == host.data_centre:
+                        heard.add(member.contact.name)
+            assert len(heard) == hosts // data_centres - 1
+
+    def test_no_slot_has_two_owners(self, hosts: int, data_centres: int) -> None:
+        """Guards against hosts that share out slots of limits and trials among those
+        that they hear of, and so take the same ones."""
+        network = Network(hosts, data_centres, seed=hosts)
+        network.run(START_S + 2 * KNOWN_S)
+        owned = 0
+        for slot in range(SLOTS):
+            owners = [h for h in network.live() if h.exchange.shares.owns(str(slot))]
+            assert len(owners) <= 1
+            owned += len(owners)
+        assert owned > SLOTS / 2
