Add a random test of fatal segments among companions, over 4 and 28 hosts

Fatal requests have one segment and one to five sound ones in random order, which change now and then; sound requests with some of them are served in between; a tenth of the messages is lost in half of the runs. No sound segment may be refused at any host, and all hosts refuse the fatal one with its usual companions after eight crashes at most.

--- a/tests/router/membership/test_quarantine.py
+++ b/tests/router/membership/test_quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import statistics
 from dataclasses import replace
@@ -29,6 +30,10 @@
 # Time after the fifth crash from which all hosts refuse such prompts.
 CONTACT_S = 3.0
 CRASHES = 5
+# Crashes after the fifth that are allowed, requests that are tried in all, and seeds.
+ALLOWED_CRASHES = 3
+MAX_CRASHES = 25
+SEEDS = int(os.environ.get("HEMLOCKHALL_SEEDS", "4"))
 # Requests that an endpoint's end breaks off.
 BROKEN_OFF = 40
 START_S = 4.0
@@ -49,6 +54,7 @@
         self.network = Network(hosts, data_centres, seed=hosts)
         self.random = random.Random(hosts)  # noqa: S311
         self.numbers = count(1)
+        self.crash_count = 0
         self.network.run(START_S)
         self.network.lost = lost
 
@@ -65,6 +71,7 @@
         return request
 
     def crash(self, host: Host, *segments: str) -> None:
+        self.crash_count += 1
         self.crash_under(host, [self.request(*segments)])
 
     def crash_under(self, host: Host, requests: list[RoutedRequest]) -> None:
@@ -207,6 +214,38 @@
         assert fleet.refusing("sound") == 0
 
 
+@pytest.mark.parametrize("seed", range(SEEDS))
+class TestSharedSegments:
+    def test_only_prompts_with_the_fatal_segment_are_refused(self, seed: int) -> None:
+        """Guards against sound segments that are refused as fatal requests had them,
+        too, and against a fatal one that is sent on for its changing companions."""
+        draw = random.Random(seed)  # noqa: S311
+        hosts, data_centres = draw.choice(SMALL_SIZES)
+        fleet = Fleet(hosts, data_centres, lost=draw.choice([0.0, 0.1]))
+        parts = [f"part-{number}" for number in range(draw.randint(1, 5))]
+        usual = draw.sample(parts, draw.randint(1, len(parts)))
+        for _ in range(MAX_CRASHES):
+            others = usual if draw.random() < 0.7 else draw.sample(parts, 1)
+            prompt = [*others, "bad"]
+            draw.shuffle(prompt)
+            host = draw.choice(fleet.network.live())
+            if host.quarantine.refusal(fleet.request(*prompt)) is None:
+                fleet.crash(host, *prompt)
+            fleet.network.run(draw.uniform(0.2, 1.0))
+            fleet.serve("base")
+            if draw.random() < 0.3:
+                sound = draw.sample(parts, draw.randint(1, len(parts)))
+                host = draw.choice(fleet.network.live())
+                assert host.quarantine.refusal(fleet.request(*sound)) is None
+                host.quarantine.record_served(fleet.request(*sound))
+        fleet.network.run(CONTACT_S)
+        assert fleet.crash_count <= CRASHES + ALLOWED_CRASHES
+        for host in fleet.network.live():
+            assert host.quarantine.refusal(fleet.request(*usual, "bad")) is not None
+            for part in parts:
+                assert host.quarantine.refusal(fleet.request(part)) is None
+
+
 @pytest.mark.parametrize(("hosts", "data_centres"), SMALL_SIZES)
 class TestCutOffHosts:
     def test_hosts_that_were_parted_know_it_in_time(
