--- a/tests/daemon/process/test_document_poller.py
+++ b/tests/daemon/process/test_document_poller.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -33,6 +34,19 @@
     return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock)}
 
 
+def make_poller(
+    respond: Callable[[httpx.Request], httpx.Response],
+) -> tuple[DocumentPoller, DocumentCache]:
+    """Return a poller whose stores are ``respond``, and the cache that it fills."""
+    table, objects = Table("http://store"), Objects("http://store")
+    for store in (table, objects):
+        store._client = httpx.AsyncClient(
+            base_url="http://store", transport=httpx.MockTransport(respond)
+        )
+    cache = DocumentCache(("priorities",), Metrics(), lambda: None)
+    return DocumentPoller(Repository(table, objects), cache, POLL_S), cache
+
+
 class TestOutage:
     @pytest.mark.parametrize("outage_s", [30.0, 30.7, 31.4, 32.1, 32.8, 33.5, 34.2])
     async def test_a_document_is_in_force_in_time_after_an_outage(
@@ -60,13 +74,7 @@
                 return httpx.Response(200, json=row)
             return httpx.Response(200, text=TEXT)
 
-        table, objects = Table("http://store"), Objects("http://store")
-        for store in (table, objects):
-            store._client = httpx.AsyncClient(
-                base_url="http://store", transport=httpx.MockTransport(respond)
-            )
-        cache = DocumentCache(("priorities",), Metrics(), lambda: None)
-        poller = DocumentPoller(Repository(table, objects), cache, POLL_S)
+        poller, cache = make_poller(respond)
         async with anyio.create_task_group() as group:
             group.start_soon(poller.run)
             await anyio.sleep(outage_s)
@@ -105,13 +113,7 @@
                 return httpx.Response(200, text=current)
             return httpx.Response(200, text=texts[request.url.path.split("/")[-1]])
 
-        table, objects = Table("http://store"), Objects("http://store")
-        for store in (table, objects):
-            store._client = httpx.AsyncClient(
-                base_url="http://store", transport=httpx.MockTransport(respond)
-            )
-        cache = DocumentCache(("priorities",), Metrics(), lambda: None)
-        poller = DocumentPoller(Repository(table, objects), cache, POLL_S)
+        poller, cache = make_poller(respond)
         async with anyio.create_task_group() as group:
             group.start_soon(poller.run)
             for current in foreign:  # noqa: B007
