--- a/tests/router/test_cut_heads.py
+++ b/tests/router/test_cut_heads.py
@@ -29,6 +29,7 @@
 ]
 TARGETS = [route.prefix for route in ROUTES]
 BODY = b'{"a": 1}'
+EVENT = b"id: 1\ndata: word1\n\n"
 SIGNED = "signature: %s\r\nrequest-id: %s\r\n"
 LENGTH = f"content-length: {len(BODY)}\r\n"
 CHUNKED = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
@@ -45,7 +46,7 @@
 
 @pytest.fixture()
 def anyio_backend(clock: VirtualClock) -> tuple[str, dict[str, Any]]:
-    return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock, 0.0)}
+    return "asyncio", {"loop_factory": lambda: VirtualTimeLoop(clock)}
 
 
 @dataclass
@@ -147,7 +148,9 @@
                 await conn.close()
                 forgive(harness)
 
-    @pytest.mark.parametrize("rest", [BODY, b"0\r\n", b"\r", b"data: x\n"])
+    @pytest.mark.parametrize(
+        "rest", [BODY, EVENT, b"0\r\n", b"0\r\n\r\n", b"\r", b"\n\0", b"data: x\n"]
+    )
     @pytest.mark.parametrize("target", TARGETS)
     async def test_a_body_without_the_empty_line_is_no_success(
         self, target: str, rest: bytes
