Add a setting for the address that other hosts are told

A host told the others the address at which it listens, so that no proxy could stand between hosts: delayed, cut and silent links between router processes could not be played, and a host behind an address translation could not be reached. listen.advertised_hosts is told in place of listen.hosts; without it nothing changes.

--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -104,7 +104,9 @@
     Parameters
     ----------
     own : Contact
-        This host.
+        This host, as the others know it.
+    listen : str
+        The address at which it listens for the others.
     seeds : list of str
         Addresses of hosts, to contact while no live host has them.
     store : Store
@@ -135,6 +137,7 @@
     def __init__(
         self,
         own: Contact,
+        listen: str,
         seeds: list[str],
         store: Store,
         timing: Timing,
@@ -151,6 +154,7 @@
         supervisor: Supervisor,
     ) -> None:
         self._own = own
+        self._listen = listen
         self._supervisor = supervisor
         self._store = store
         self._timing = timing
@@ -189,7 +193,7 @@
 
         Raises ``OSError`` if it cannot listen at this host's address.
         """
-        host, _, port = self._own.address.rpartition(":")
+        host, _, port = self._listen.rpartition(":")
         run = self._supervisor.run
         async with anyio.create_task_group() as group:
             self._group = group
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -101,13 +101,14 @@
         self._timing = Timing(settings.bounds)
         contact = Contact(
             host.name,
-            settings.listen.hosts,
+            settings.listen.advertised_hosts or settings.listen.hosts,
             host.data_centre,
             host.capacity,
             self._run_id,
         )
         self.membership = Membership(
             contact,
+            settings.listen.hosts,
             settings.seeds,
             self._store,
             self._timing,
--- a/packages/router/src/hemlockhall_router/process/setting.py
+++ b/packages/router/src/hemlockhall_router/process/setting.py
@@ -41,11 +41,15 @@
 
 
 class ListenSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Addresses for callers, for readiness checks and metrics, and for other hosts."""
+    """Addresses for callers, for readiness checks and metrics, and for other hosts.
+
+    Other hosts are told ``advertised_hosts``, if there is one, in place of ``hosts``.
+    """
 
     callers: str
     ready: str
     hosts: str
+    advertised_hosts: str = ""
 
 
 class StoreSection(msgspec.Struct, frozen=True, kw_only=True):
@@ -179,6 +183,8 @@
         "listen.hosts": settings.listen.hosts,
         "store.address": settings.store.address,
     }
+    if settings.listen.advertised_hosts:
+        addresses["listen.advertised_hosts"] = settings.listen.advertised_hosts
     for field, address in addresses.items():
         host, _, port = address.rpartition(":")
         if not host or not port.isdigit():
