Add a soak of router processes with a checker of its own

Our tests end processes and cut links in virtual time; whole processes under series of faults were played by hand only. The soak starts routers with the command of the deploy file, draws disruptions from a seed, and a checker that knows nothing of the player judges the history.

--- /dev/null
+++ b/packages/standins/src/hemlockhall_standins/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of router processes: what happens to callers under series of faults."""
--- /dev/null
+++ b/packages/standins/src/hemlockhall_standins/soak/player.py
@@ -0,0 +1,203 @@
+"""Plays a scenario with router processes, and records what happens."""
+
+from __future__ import annotations
+
+import time
+from contextlib import suppress
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from hemlockhall_platform_standins.document import SERVICES, encode_document
+from hemlockhall_platform_standins.endpoint import PlainEndpoint
+from hemlockhall_platform_standins.model import RecordedModelServer
+from hemlockhall_platform_standins.process import RouterProcess
+from hemlockhall_platform_standins.review import free_port, loopback_host
+from hemlockhall_platform_standins.store import SoakStore
+from hemlockhall_standins.soak.caller import Caller, work_s
+from hemlockhall_standins.soak.disruption import DISRUPTIONS, Stage
+from hemlockhall_standins.soak.fleet import Fleet
+from hemlockhall_standins.soak.pool import Pool
+from hemlockhall_standins.soak.scenario import SCENARIOS
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from hemlockhall_standins.soak.history import History
+    from hemlockhall_standins.soak.scenario import Scenario
+
+RETRY_RATIO = 0.2
+RETRY_CONSTANT = 15
+RETRY_WINDOW_S = 10.0
+# Callers and endpoints are calm for so long before the first disruption, and after the
+# last one.
+CALM_S = 3.0
+# Model servers load their layers first.
+LOAD_S = 6.0
+MODEL_SERVERS = 3
+LAG_INTERVAL_S = 0.05
+MAX_LAG_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class RunOptions:
+    """What is played: a scenario, with a seed, for some seconds, with so many hosts.
+
+    ``source`` is another checkout whose router is played; logs go to ``log_folder``.
+    """
+
+    scenario: str
+    seed: int
+    seconds: float
+    hosts: int
+    source: Path | None = None
+    log_folder: Path | None = None
+
+
+def draw_disruptions(
+    scenario: Scenario, rng: Random, seconds: float
+) -> list[tuple[float, str, int]]:
+    """Return the times of disruptions, their names and their own seeds."""
+    found = []
+    at = CALM_S
+    while scenario.disruptions and at < seconds - CALM_S:
+        found.append((at, rng.choice(scenario.disruptions), rng.getrandbits(32)))
+        at += rng.uniform(*scenario.gaps_s)
+    return found
+
+
+async def play(options: RunOptions, history: History) -> None:
+    """Play a scenario from its start to its end."""
+    scenario = SCENARIOS[options.scenario]
+    rng = Random(options.seed)  # noqa: S311
+    history.add(
+        "settings",
+        scenario=options.scenario,
+        seed=options.seed,
+        hosts=options.hosts,
+        ratio=RETRY_RATIO,
+        constant=RETRY_CONSTANT,
+        window_s=RETRY_WINDOW_S,
+        services=SERVICES,
+    )
+    address = loopback_host()
+    store = SoakStore(encode_document)
+    await store.start(address)
+    await store.configure()
+
+    def make_process(name: str, data_centre: str, seeds: list[str]) -> RouterProcess:
+        return RouterProcess(
+            name, data_centre, store.address, seeds, RETRY_CONSTANT, options.source
+        )
+
+    pools: list[Pool] = []
+    fleet = Fleet(make_process, lambda: f"{address}:{free_port(address)}", history)
+    try:
+        async with anyio.create_task_group() as group:
+            pools += await _start_pools(scenario, store, address, history, group)
+            for _ in range(options.hosts):
+                await fleet.add(group)
+            await fleet.wait_ready()
+            if len(pools) > 1:
+                await anyio.sleep(LOAD_S)
+            group.start_soon(_watch_lag, history)
+            stage = Stage(fleet, pools, store, history, group)
+            await _play_series(scenario, stage, rng, options.seconds)
+            group.cancel_scope.cancel()
+    finally:
+        if options.log_folder is not None:
+            for member in fleet.members:
+                member.process.keep_log(options.log_folder)
+        fleet.stop()
+        for pool in pools:
+            pool.stop()
+        store.stop()
+
+
+async def _start_pools(
+    scenario: Scenario,
+    store: SoakStore,
+    address: str,
+    history: History,
+    group: anyio.abc.TaskGroup,
+) -> list[Pool]:
+    fatal_ms = {str(work.work_ms) for work in scenario.works if work.fatal}
+
+    def is_fatal(target: str) -> bool:
+        return target.rpartition("/")[2].split("-")[1] in fatal_ms
+
+    def make_plain(name: str) -> PlainEndpoint:
+        def record(what: str, call: str, target: str) -> None:
+            history.add("arrival", id=call, endpoint=name, what=what)
+
+        return PlainEndpoint(
+            name, "desk", store, scenario.slots, work_s, record, is_fatal
+        )
+
+    def make_model(name: str) -> RecordedModelServer:
+        def record(what: str, call: str) -> None:
+            history.add("arrival", id=call, endpoint=name, what=what)
+
+        return RecordedModelServer(name, "pool", store, record)
+
+    async def remove_entry(name: str) -> None:
+        await store.remove("servers", name)
+
+    pools = []
+    routes = {work.route for work in scenario.works}
+    if routes & {"read", "book"}:
+        pools.append(Pool("desk", make_plain, remove_entry, address, history, group))
+        for _ in range(scenario.endpoints):
+            await pools[-1].start_one()
+    if "draft" in routes:
+        pools.append(Pool("pool", make_model, remove_entry, address, history, group))
+        for _ in range(MODEL_SERVERS):
+            await pools[-1].start_one()
+    return pools
+
+
+async def _play_series(
+    scenario: Scenario, stage: Stage, rng: Random, seconds: float
+) -> None:
+    """Run callers and disruptions; return after the last responses."""
+    schedule = draw_disruptions(scenario, rng, seconds)
+    started = time.monotonic()
+    async with anyio.create_task_group() as callers:
+        for number in range(scenario.callers_per_host * len(stage.fleet.members)):
+            caller = Caller(
+                number,
+                stage.fleet,
+                scenario.works,
+                stage.history,
+                Random(rng.getrandbits(32)),  # noqa: S311
+                impatient=rng.random() < scenario.impatient,
+            )
+            callers.start_soon(caller.run)
+        for at, name, seed in schedule:
+            await anyio.sleep(started + at - time.monotonic())
+            stage.history.add("disruption", name=name, seed=seed)
+            own_rng = Random(seed)  # noqa: S311
+            stage.group.start_soon(DISRUPTIONS[name], stage, own_rng)
+        await anyio.sleep(started + seconds - time.monotonic())
+        stage.history.add("end")
+        callers.cancel_scope.cancel()
+
+
+async def _watch_lag(history: History) -> None:
+    """Record when the player's own loop is held up."""
+    with suppress(anyio.get_cancelled_exc_class()):
+        while True:
+            due = time.monotonic() + LAG_INTERVAL_S
+            await anyio.sleep(LAG_INTERVAL_S)
+            lag_s = time.monotonic() - due
+            if lag_s > MAX_LAG_S:
+                history.add("lag", seconds=round(lag_s, 3))
+
+
+__all__ = [
+    "RunOptions",
+    "draw_disruptions",
+    "play",
+]
--- /dev/null
+++ b/packages/standins/src/hemlockhall_standins/soak/proxy.py
@@ -0,0 +1,107 @@
+"""Proxy of a host's address for other hosts, which delays, cuts or silences."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from functools import partial
+
+import anyio
+
+CHUNK_BYTES = 65_536
+
+
+@dataclass(slots=True)
+class LinkFaults:
+    """What a proxy does with bytes to its host, and with those that come back."""
+
+    delay_s: float = 0.0
+    drop_in: bool = False
+    drop_out: bool = False
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, proxy: HostProxy) -> None:
+        self._proxy = proxy
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._proxy.forward_datagram(data)
+
+
+class HostProxy:
+    """Forwards datagrams and connections to a host, one for each host.
+
+    Parameters
+    ----------
+    target : str
+        The address, ``IP:port``, at which the host listens.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.faults = LinkFaults()
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, address: str) -> None:
+        """Listen at ``IP:port``."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._datagrams, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self), local_addr=(host, int(port))
+        )
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
+    def stop(self) -> None:
+        """Close all sockets."""
+        self._datagrams.close()
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def forward_datagram(self, data: bytes) -> None:
+        """Forward a datagram, which has its sender in it."""
+        if self.faults.drop_in:
+            return
+        send = partial(self._datagrams.sendto, data, self._target)
+        asyncio.get_running_loop().call_later(self.faults.delay_s, send)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            host_reader, host_writer = await asyncio.open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._copy, reader, host_writer, "drop_in")
+                group.start_soon(self._copy, host_reader, writer, "drop_out")
+        finally:
+            writer.close()
+            host_writer.close()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, drop: str
+    ) -> None:
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if getattr(self.faults, drop):
+                    continue
+                await asyncio.sleep(self.faults.delay_s)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+
+__all__ = [
+    "HostProxy",
+    "LinkFaults",
+]
