Log whether ends under one content followed each other

Each attempt keeps when it was sent. 'endpoint crashed under request' has waited_ms, 'request quarantined' how many of the ends followed each other (in_turn) and how many other contents have evidence of the same crashes (others). Hosts tell each other how long an attempt had waited; a message without it reads as before.

--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -171,12 +171,15 @@
     """Requests under which an endpoint crashed, at ``at_ms`` of the shared clock.
 
     ``crash`` is a 32-bit key of the incarnation that crashed, and ``requests`` are
-    those of the requests, which repeats of them have too.
+    those of the requests, which repeats of them have too. Each had been sent to the
+    endpoint as many milliseconds before as ``waited_ms`` has at its place, or at a time
+    that is not known if it has none there.
     """
 
     crash: Integer
     at_ms: Integer
     requests: list[Integer]
+    waited_ms: list[Integer] = []
 
 
 class SegmentVerdict(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/router/src/hemlockhall_router/policy/crash.py
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -25,6 +26,14 @@
 MAX_REQUEST_CRASHES = 3
 
 
+@dataclass(frozen=True, slots=True)
+class EndedAttempt:
+    """An attempt that ended with its endpoint, with shared times in milliseconds."""
+
+    sent_ms: int
+    ended_ms: int
+
+
 def is_fatal(evidence: Iterable[CrashEvidence]) -> bool:
     """Return whether a segment crashes endpoints.
 
@@ -72,6 +81,21 @@
     return len({item.crash for item in evidence}) >= MAX_REQUEST_CRASHES
 
 
+def count_ends_in_turn(attempts: Iterable[EndedAttempt]) -> int:
+    """Return how many endpoints ended under attempts that followed each other.
+
+    Attempts that were in flight at the same time count once, whatever ended, and ends
+    within ``CRASH_SPACING_MS`` too: connections break a little later than endpoints
+    end, and an attempt may be sent in between.
+    """
+    count, last_ms = 0, float("-inf")
+    for attempt in sorted(attempts, key=lambda item: item.ended_ms):
+        if attempt.sent_ms < last_ms or attempt.ended_ms - last_ms < CRASH_SPACING_MS:
+            continue
+        count, last_ms = count + 1, attempt.ended_ms
+    return count
+
+
 def _first_crashes(evidence: Iterable[CrashEvidence]) -> list[CrashEvidence]:
     """Return the first crash under each request."""
     first: dict[int, CrashEvidence] = {}
@@ -98,6 +122,8 @@
     "MIN_REQUESTS",
     "MIN_REQUESTS_WITHOUT",
     "MIN_WAITING_REQUESTS",
+    "EndedAttempt",
+    "count_ends_in_turn",
     "is_fatal",
     "is_fatal_request",
     "needs_companion",
--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -36,10 +36,10 @@
 class _BrokenAttempt:
     """An attempt that broke off, or fell silent, at ``at``, a monotonic time.
 
-    ``endpoints`` may have crashed. The request was sent to ``first``, which closed the
-    connection if ``closed`` is true. ``served`` is true if an endpoint had served the
-    request before, and ``lost`` once the endpoint counts as ended for its silence. The
-    attempt is dropped at ``deadline``.
+    ``endpoints`` may have crashed. The request was sent to ``first`` at ``sent_at``,
+    which closed the connection if ``closed`` is true. ``served`` is true if an endpoint
+    had served the request before, and ``lost`` once the endpoint counts as ended for
+    its silence. The attempt is dropped at ``deadline``.
     """
 
     request: RoutedRequest
@@ -48,6 +48,7 @@
     responded: bool
     served: bool
     closed: bool
+    sent_at: float
     at: float
     deadline: float
     lost: bool = False
@@ -124,6 +125,8 @@
         for endpoint in endpoints:
             if not self._directory.is_leaving(endpoint):
                 staying.append(endpoint)
+        if at is None:
+            at = now
         key = request_key(request)
         # Without what may be large.
         head = RequestHead(request.head.method, request.head.target, [])
@@ -135,7 +138,8 @@
             responded,
             served,
             closed,
-            now if at is None else at,
+            min(at, request.sent_at.get(endpoints[0].id, at)),
+            at,
             now + CONFIRMATION_S,
         )
         self._pending.append(attempt)
@@ -232,7 +236,12 @@
         """
         self._metrics.count("crash_attempts", "silent")
         self._quarantine.record_crash(
-            attempt.request, attempt.first, attempt.at, responded=False, served=True
+            attempt.request,
+            attempt.first,
+            attempt.at,
+            sent_at=attempt.sent_at,
+            responded=False,
+            served=True,
         )
 
     def _record_crash(self, attempt: _BrokenAttempt, endpoint: Endpoint) -> None:
@@ -250,6 +259,7 @@
             started_ms=endpoint.started_ms,
             responded=attempt.responded,
             served=attempt.served,
+            waited_ms=round((attempt.at - attempt.sent_at) * 1000),
             after_ms=round((self._clock() - attempt.at) * 1000),
             segments=request.segments.logged,
         )
@@ -257,6 +267,7 @@
             request,
             endpoint,
             attempt.at,
+            sent_at=attempt.sent_at,
             responded=attempt.responded,
             served=attempt.served,
             sent_to=endpoint.incarnation == attempt.first.incarnation,
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from heapq import nsmallest
-from itertools import chain
+from itertools import chain, zip_longest
 from math import inf
 from typing import TYPE_CHECKING, Protocol
 
@@ -25,6 +25,8 @@
 from hemlockhall_router.policy.crash import (
     MAX_REQUEST_CRASHES,
     MIN_REQUESTS,
+    EndedAttempt,
+    count_ends_in_turn,
     is_fatal,
     is_fatal_request,
     needs_companion,
@@ -114,13 +116,14 @@
     """Evidence with the shared time from which it counts, and is known here.
 
     If ``own`` is true, it is against the content of the request, whose key it has in
-    place of that of a segment.
+    place of that of a segment, and the request was sent to the endpoint at ``sent_ms``.
     """
 
     item: CrashEvidence
     counts_from_ms: int
     learned_ms: int
     own: bool = False
+    sent_ms: int = 0
     sent: int = 0
 
 
@@ -341,6 +344,7 @@
         at: float,
         *,
         responded: bool,
+        sent_at: float | None = None,
         served: bool = False,
         sent_to: bool = True,
     ) -> None:
@@ -356,6 +360,8 @@
             When the attempt broke off.
         responded : bool
             Whether the head of a response had arrived, and no event.
+        sent_at : float, optional
+            When the request was sent to the endpoint; ``at`` by default.
         served : bool, optional
             Whether an endpoint had served the request, so that no segment is blamed.
         sent_to : bool, optional
@@ -369,7 +375,8 @@
         own = request_key(request)
         if sent_to:
             item = CrashEvidence(own, service, crash, own, at_ms, responded)
-            self._add(item, own=True)
+            sent_ms = at_ms if sent_at is None else shared_clock.at_ms(sent_at)
+            self._add(item, sent_ms=sent_ms)
             # With the ends that others know it may be enough for a verdict.
             self._urgent |= len(self.request_crashes(request)) > 1
         if served:
@@ -387,9 +394,11 @@
     ) -> None:
         """Apply what another host knows."""
         for crash in ended:
-            for key in crash.requests:
+            for key, waited_ms in zip_longest(crash.requests, crash.waited_ms):
+                if key is None:
+                    break
                 item = CrashEvidence(key, 0, crash.crash, key, crash.at_ms, False)
-                self._add(item, own=True)
+                self._add(item, sent_ms=crash.at_ms - (waited_ms or 0))
         for item in evidence:
             prompt = item.prompt[:MAX_PROMPT_SUSPECTS] or (item.segment,)
             for key in prompt:
@@ -499,9 +508,10 @@
             entry.sent += 1
             item = entry.item
             known = crashes.setdefault(
-                item.crash, EndedRequests(item.crash, item.at_ms, [])
+                item.crash, EndedRequests(item.crash, item.at_ms, [], [])
             )
             known.requests.append(item.request)
+            known.waited_ms.append(item.at_ms - entry.sent_ms)
         return list(crashes.values())
 
     def _holds(self, item: CrashEvidence) -> bool:
@@ -613,9 +623,13 @@
             return False
         return True
 
-    def _add(self, item: CrashEvidence, *, own: bool = False) -> None:
-        """Add evidence; with ``own`` against the content of the request."""
+    def _add(self, item: CrashEvidence, *, sent_ms: int | None = None) -> None:
+        """Add evidence, against the content of a request if ``sent_ms`` is given.
+
+        That is when the request was sent to the endpoint.
+        """
         now_ms = self._now_ms()
+        own = sent_ms is not None
         if self._served_since(item.segment, item.at_ms):
             return
         if now_ms - item.at_ms > EVIDENCE_TTL_MS:
@@ -636,7 +650,8 @@
         if known is None:
             label = "responded" if item.responded else "waiting"
             self._metrics.count("crash_evidence", label)
-        suspect.evidence[name] = entry = _Evidence(item, counts_from_ms, now_ms, own)
+        entry = _Evidence(item, counts_from_ms, now_ms, own, sent_ms or 0)
+        suspect.evidence[name] = entry
         suspect.last_at_ms = max(suspect.last_at_ms, item.at_ms)
         (self._request_news if own else self._news).append(entry)
         if len(suspect.evidence) > MAX_EVIDENCE:
@@ -690,6 +705,8 @@
             segment=f"{key:016x}",
             companions=_logged_keys(companions),
             crashes=len({item.crash for item in evidence}),
+            in_turn=_count_in_turn(counting),
+            others=self._count_others(key, evidence),
             requests=len({item.request for item in evidence}),
             since_ms=now_ms - since_ms,
             seconds=self.cfg.hold_s,
@@ -699,6 +716,16 @@
         self._urgent = True
         self.on_verdict()
 
+    def _count_others(self, key: int, evidence: Sequence[CrashEvidence]) -> int:
+        """Return how many other suspects have evidence of one of the same crashes."""
+        crashes = {item.crash for item in evidence}
+        count = 0
+        for other, suspect in self._suspects.items():
+            if other == key:
+                continue
+            count += any(crash in crashes for crash, _ in suspect.evidence)
+        return count
+
     def _companions(
         self, key: int, evidence: Sequence[CrashEvidence], since_ms: int
     ) -> tuple[int, ...]:
@@ -828,6 +855,15 @@
         return True
 
 
+def _count_in_turn(evidence: Iterable[_Evidence]) -> int:
+    """Return how many endpoints ended one after the other under one content."""
+    attempts = []
+    for entry in evidence:
+        if entry.own:
+            attempts.append(EndedAttempt(entry.sent_ms, entry.item.at_ms))
+    return count_ends_in_turn(attempts)
+
+
 def _least_useful(suspect: _Suspect) -> tuple[int, int]:
     """Return the name of the evidence to drop: of the crash that has most of it.
 
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -77,7 +77,8 @@
     is None if nobody waits for the response.
     ``completed`` is true once an endpoint has finished the response, ``sends`` counts
     how often it was sent to an endpoint, and ``retry_taken_at`` is the monotonic time
-    at which the latest retry was taken for it.
+    at which the latest retry was taken for it. ``sent_at`` has the monotonic time at
+    which it was last sent, by the id of the endpoint.
     ``config_version`` is that of the configuration by which it was routed.
     ``key`` is the key of its content and ``segment_keys`` are those of the shared
     segments of its prompt, None until they are needed, and ``tried_segments`` those of
@@ -99,6 +100,7 @@
     tried_segments: set[int] = field(default_factory=set)
     completed: bool = False
     sends: int = 0
+    sent_at: dict[str, float] = field(default_factory=dict)
     retry_taken_at: float = inf
     config_version: int = 0
 
@@ -271,6 +273,7 @@
     service = request.service.name
     context.admission.record_sent(service)
     request.sends += 1
+    request.sent_at[endpoints[0].id] = time.monotonic()
     if request.sends == 1:
         return
     usage = context.retry_budget.record_sent(service, request.retry_taken_at)
