Count ends under one content only if one followed the other

Callers: after one crash of all endpoints every request with a content that is asked for often was refused with 503 for ten minutes, though nothing was wrong with it. Cause: three ends under a content were a verdict, whatever else ended; such a content is in flight at each endpoint, so one loss of power was three proofs. Evidence: 'request quarantined' with crashes 3, since_ms 71, in_turn 1.

Ends count one after the other: an attempt must be sent after the last counted end, and end 0.1 s later. Attempts in flight together have one common cause at most. While enough endpoints ended but not in turn, nothing tells a sound content from a fatal one, and it is tried by one request at a time: at the host that owns the slot, or anywhere after a time that each host draws. The first that is completed clears it everywhere; ends under trials follow each other. A request under which three endpoints ended is not sent on by itself, whatever the cause, so the bound on one attempt stays.

Two tests of test_verdict.py recorded three ends at one instant and expected a verdict; they now record them 0.5 s apart, as an instant is no sequence.

--- a/packages/router/src/hemlockhall_router/policy/crash.py
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -21,7 +21,7 @@
 # Requests without a segment, under each of which an endpoint crashed at another time,
 # that show that it takes no part in the crashes: one may have met another's crash.
 MIN_REQUESTS_WITHOUT = 2
-# Endpoints that may end under one request, in all of its attempts and those of requests
+# Endpoints that may end under one request, and one after the other under all requests
 # with the same content.
 MAX_REQUEST_CRASHES = 3
 
@@ -72,13 +72,9 @@
     return _count_spaced(times_ms) < MIN_REQUESTS_WITHOUT
 
 
-def is_fatal_request(evidence: Iterable[CrashEvidence]) -> bool:
-    """Return whether too many endpoints have ended under one content.
-
-    Ends at one moment are not told apart from others: a request that is sound and met
-    so many is no better sent on.
-    """
-    return len({item.crash for item in evidence}) >= MAX_REQUEST_CRASHES
+def is_fatal_request(attempts: Iterable[EndedAttempt]) -> bool:
+    """Return whether one content ends endpoints, from all attempts that ended so."""
+    return count_ends_in_turn(attempts) >= MAX_REQUEST_CRASHES
 
 
 def count_ends_in_turn(attempts: Iterable[EndedAttempt]) -> int:
--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -12,7 +12,8 @@
 from hemlockhall_router.policy.crash import MAX_REQUEST_CRASHES
 from hemlockhall_router.process.directory import PAUSE_LIMIT_S
 from hemlockhall_router.process.quarantine import crash_key, request_key
-from hemlockhall_router.request.failure import decode_value
+from hemlockhall_router.request.failure import AttemptFailedError, decode_value
+from hemlockhall_router.request.reason import RetryReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -84,6 +85,7 @@
         self._quarantine = quarantine
         self._request_probes = request_probes
         self._clock = clock
+        self._updated_at = float("-inf")
         self._pending: list[_BrokenAttempt] = []
         # By the keys of their requests.
         self._pending_by_request: dict[int, list[_BrokenAttempt]] = {}
@@ -149,11 +151,24 @@
         """Wait until it is known whether too many endpoints ended under a request.
 
         Connections that broke count as ends until the endpoint answers a probe, and for
-        ``CONFIRMATION_S`` at most. Returns at once if there are too few of them.
+        ``CONFIRMATION_S`` at most. A content that may be the cause is tried by one
+        request after the other. Returns at once if too few endpoints ended.
+
+        Raises
+        ------
+        AttemptFailedError
+            If the request's deadline passed meanwhile.
         """
-        while self._undecided(request):
+        while self._undecided(request) or not self._quarantine.may_send(request):
+            if request.remaining_s <= 0:
+                raise AttemptFailedError(
+                    RetryReason.QUARANTINED,
+                    "endpoints ended under the content, which is being tried",
+                    may_have_run=False,
+                )
             await anyio.sleep(SETTLE_INTERVAL_S)
-            self.update()
+            if self._clock() - self._updated_at >= SETTLE_INTERVAL_S:
+                self.update()
 
     def _undecided(self, request: RoutedRequest) -> bool:
         """Return whether attempts may have ended the endpoints that are still allowed.
@@ -169,7 +184,9 @@
         if not open_crashes:
             return False
         known = self._quarantine.request_crashes(request)
-        return len(known) < MAX_REQUEST_CRASHES <= len(known | open_crashes)
+        if open_crashes <= known:
+            return False
+        return len(known | open_crashes) >= MAX_REQUEST_CRASHES
 
     def _may_have_ended(self, attempt: _BrokenAttempt) -> bool:
         """Return whether the first endpoint broke off or is silent, and not heard."""
@@ -187,7 +204,7 @@
 
     def update(self) -> None:
         """Look for the endpoints of broken attempts; called periodically."""
-        now = self._clock()
+        now = self._updated_at = self._clock()
         waiting = []
         for attempt in self._pending:
             endpoint = self._crashed_endpoint(attempt)
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -80,6 +80,10 @@
 # A segment whose quarantine has ended gets one request in each such time, at one host,
 # until an endpoint served one.
 TRIAL_INTERVAL_MS = 10_000
+# While a content is tried one request is sent in each such slot; a host that owns none
+# sends one after this time, and a further one that it draws.
+SUSPECT_SLOT_MS = 500
+SUSPECT_IDLE_MS = 1000
 # Callers that are refused are told to come back within so many seconds of the end.
 CALLER_SPREAD_S = 5.0
 # Endpoints that may crash under one request: having begun to respond to it, or not. The
@@ -110,6 +114,9 @@
     def shares(self) -> Shares:
         """Which slots this host owns."""
 
+    def known_hosts(self) -> int:
+        """Return the number of hosts that this one hears of, with itself."""
+
 
 @dataclass(slots=True)
 class _Evidence:
@@ -162,10 +169,16 @@
 
 @dataclass(slots=True)
 class _Suspect:
-    """A segment, or a content, of requests under which endpoints crashed."""
+    """A segment, or a content, of requests under which endpoints crashed.
+
+    While a content is tried, this host sends one request with it in ``tried_slot``, and
+    one from ``free_at_ms`` on though it does not own the slot.
+    """
 
     evidence: dict[tuple[int, int], _Evidence] = field(default_factory=dict)
     last_at_ms: int = 0
+    tried_slot: int = -1
+    free_at_ms: int = 0
 
 
 class Quarantine:
@@ -231,9 +244,16 @@
         """Return the verdict for which a request must not be sent, or None.
 
         It is on its content or a segment of its prompt. One whose quarantine has ended
-        may be tried by the request.
+        may be tried by the request. A request under which too many endpoints ended has
+        one of its own, whatever caused these ends.
         """
-        if not self._verdicts or not self.cfg.enabled:
+        if not self.cfg.enabled:
+            return None
+        if len(request.crashes) >= MAX_REQUEST_CRASHES:
+            at_ms = self._now_ms()
+            expires_ms = at_ms + TRIAL_INTERVAL_MS
+            return SegmentVerdict(request_key(request), at_ms, at_ms, expires_ms)
+        if not self._verdicts:
             return None
         now_ms = self._now_ms()
         keys = suspect_keys(request)
@@ -250,6 +270,49 @@
             request.tried_segments.add(key)
         return None
 
+    def may_send(self, request: RoutedRequest) -> bool:
+        """Return whether a request may be sent now, as far as its content is concerned.
+
+        While enough endpoints for a verdict have ended under the content, but not one
+        after the other, nothing tells whether it is the cause. Its requests are tried
+        one at a time, at the host that owns the slot. As that may have none, each host
+        tries one after a while. The first that is completed clears the content, and
+        ends of endpoints under those that are tried follow each other.
+        """
+        suspect = self._suspects.get(request_key(request)) if self._suspects else None
+        if suspect is None or not self.cfg.enabled:
+            return True
+        if len(suspect.evidence) < MAX_REQUEST_CRASHES:
+            return True
+        now_ms = self._now_ms()
+        slot = now_ms // SUSPECT_SLOT_MS
+        if now_ms < suspect.free_at_ms:
+            if slot == suspect.tried_slot:
+                return False
+            key = f"suspect/{request_key(request)}/{slot}"
+            if not self._peers.shares.owns(key):
+                return False
+        suspect.tried_slot = slot
+        suspect.free_at_ms = self._draw_free_at(now_ms)
+        self._metrics.count("suspects", "tried")
+        logger.info(
+            "content tried",
+            request=decode_value(request.id),
+            content=f"{request_key(request):016x}",
+            crashes=len(suspect.evidence),
+        )
+        return True
+
+    def _draw_free_at(self, now_ms: int) -> int:
+        """Return when this host may try a content though it does not own the slot.
+
+        Hosts draw different times, so that the first one that tries it can tell the
+        others what became of that.
+        """
+        spread_ms = self._peers.known_hosts() * SUSPECT_SLOT_MS / 2
+        wait_ms = SUSPECT_IDLE_MS + random.uniform(0, spread_ms)  # noqa: S311
+        return now_ms + int(wait_ms)
+
     def retry_after_s(self, verdict: SegmentVerdict) -> float:
         """Return the seconds after which to tell a refused caller to come back."""
         left_ms = verdict.expires_at_ms - self._now_ms()
@@ -374,6 +437,7 @@
         service = service_key(request.service.name)
         own = request_key(request)
         if sent_to:
+            request.crashes.add(crash)
             item = CrashEvidence(own, service, crash, own, at_ms, responded)
             sent_ms = at_ms if sent_at is None else shared_clock.at_ms(sent_at)
             self._add(item, sent_ms=sent_ms)
@@ -645,6 +709,9 @@
         self._suspects.move_to_end(item.segment)
         name = (item.crash, item.request)
         known = suspect.evidence.get(name)
+        if known is not None and own:
+            # Of several attempts at one endpoint any may have ended it.
+            known.sent_ms = max(known.sent_ms, sent_ms)
         if known is not None and (known.item.responded or not item.responded):
             return
         if known is None:
@@ -653,6 +720,8 @@
         entry = _Evidence(item, counts_from_ms, now_ms, own, sent_ms or 0)
         suspect.evidence[name] = entry
         suspect.last_at_ms = max(suspect.last_at_ms, item.at_ms)
+        if own:
+            suspect.free_at_ms = self._draw_free_at(now_ms)
         (self._request_news if own else self._news).append(entry)
         if len(suspect.evidence) > MAX_EVIDENCE:
             del suspect.evidence[_least_useful(suspect)]
@@ -690,7 +759,7 @@
             if max(item.at_ms for item in evidence) < ended_ms:
                 return
         elif own:
-            if not is_fatal_request(evidence):
+            if not is_fatal_request(_attempts(counting)):
                 return
         elif not is_fatal(evidence):
             return
@@ -705,7 +774,7 @@
             segment=f"{key:016x}",
             companions=_logged_keys(companions),
             crashes=len({item.crash for item in evidence}),
-            in_turn=_count_in_turn(counting),
+            in_turn=count_ends_in_turn(_attempts(counting)),
             others=self._count_others(key, evidence),
             requests=len({item.request for item in evidence}),
             since_ms=now_ms - since_ms,
@@ -855,13 +924,13 @@
         return True
 
 
-def _count_in_turn(evidence: Iterable[_Evidence]) -> int:
-    """Return how many endpoints ended one after the other under one content."""
-    attempts = []
+def _attempts(evidence: Iterable[_Evidence]) -> list[EndedAttempt]:
+    """Return the attempts with one content that ended with their endpoints."""
+    found = []
     for entry in evidence:
         if entry.own:
-            attempts.append(EndedAttempt(entry.sent_ms, entry.item.at_ms))
-    return count_ends_in_turn(attempts)
+            found.append(EndedAttempt(entry.sent_ms, entry.item.at_ms))
+    return found
 
 
 def _least_useful(suspect: _Suspect) -> tuple[int, int]:
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -78,7 +78,8 @@
     ``completed`` is true once an endpoint has finished the response, ``sends`` counts
     how often it was sent to an endpoint, and ``retry_taken_at`` is the monotonic time
     at which the latest retry was taken for it. ``sent_at`` has the monotonic time at
-    which it was last sent, by the id of the endpoint.
+    which it was last sent, by the id of the endpoint, and ``crashes`` the keys of the
+    endpoints that ended under it.
     ``config_version`` is that of the configuration by which it was routed.
     ``key`` is the key of its content and ``segment_keys`` are those of the shared
     segments of its prompt, None until they are needed, and ``tried_segments`` those of
@@ -101,6 +102,7 @@
     completed: bool = False
     sends: int = 0
     sent_at: dict[str, float] = field(default_factory=dict)
+    crashes: set[int] = field(default_factory=set)
     retry_taken_at: float = inf
     config_version: int = 0
 
--- a/packages/standins/src/hemlockhall_standins/router/pool.py
+++ b/packages/standins/src/hemlockhall_standins/router/pool.py
@@ -63,6 +63,10 @@
     )
     shares: Shares = field(default_factory=lambda: Shares("host", "here"))
 
+    def known_hosts(self) -> int:
+        """Return the number of hosts."""
+        return 1
+
 
 def make_limits(directory: Directory) -> EndpointLimits:
     """Return the limits of a host without peers, none at first."""
--- a/tests/router/test_verdict.py
+++ b/tests/router/test_verdict.py
@@ -382,6 +382,7 @@
     def test_ends_count_though_no_request_is_served(self, fleet: Fleet) -> None:
         """Guards against a bound that waits for a sound request of the service."""
         for _ in range(MAX_REQUEST_CRASHES):
+            fleet.advance()
             self.end(fleet)
         assert self.refused(fleet)
 
@@ -399,6 +400,7 @@
         shares = fleet.quarantine._peers.shares
         monkeypatch.setattr(shares, "owns", lambda key: True, raising=False)
         for _ in range(MAX_REQUEST_CRASHES):
+            fleet.advance()
             self.end(fleet)
         fleet.advance(fleet.quarantine.cfg.hold_s + STEP_S)
         assert not self.refused(fleet)
