Try a refused content after 30 s, and later after each trial that fails

Callers: a sound content that had met three ends of others, one after the other, was refused for ten minutes. Cause: nothing with it is sent while it is refused, so nothing can clear it, and the first trial came when the quarantine of a segment ends.

The first quarantine of a content lasts 30 s. A trial that is served releases it everywhere; one that ends an endpoint makes the next quarantine four times as long, up to quarantine.hold_s. So a fatal content ends two more endpoints in the first two and a half minutes and three in ten and a half. Segments are refused for as long as before: many contents share them.

--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -77,6 +77,10 @@
 ENDED_TELLINGS = 3
 MAX_VERDICTS_SENT = 2
 MAX_CLEARED_SENT = 2
+# Time until a content is tried that was refused for the first time, and the factor by
+# which it grows with each trial under which an endpoint ends.
+REQUEST_HOLD_MS = 30_000
+REQUEST_HOLD_GROWTH = 4
 # A segment whose quarantine has ended gets one request in each such time, at one host,
 # until an endpoint served one.
 TRIAL_INTERVAL_MS = 10_000
@@ -647,6 +651,14 @@
     def _hold_ms(self) -> int:
         return int(self.cfg.hold_s * 1000)
 
+    def _request_hold_ms(self, key: int) -> int:
+        """Return how long a content is refused, longer than before its last trial."""
+        verdict = self._verdicts.get(key)
+        if verdict is None or not verdict.item.quarantined:
+            return min(self._hold_ms, REQUEST_HOLD_MS)
+        before_ms = verdict.item.expires_at_ms - verdict.item.decided_at_ms
+        return min(self._hold_ms, before_ms * REQUEST_HOLD_GROWTH)
+
     def _now_ms(self) -> int:
         return self._peers.shared_clock.now_ms()
 
@@ -768,19 +780,21 @@
             # the others. Any that was served since had other segments.
             return
         companions = self._companions(key, evidence, since_ms)
+        in_turn = count_ends_in_turn(_attempts(counting))
+        hold_ms = self._request_hold_ms(key) if own else self._hold_ms
         self._metrics.count("verdicts", "quarantined")
         logger.warning(
             "request quarantined" if own else "prompt segment quarantined",
             segment=f"{key:016x}",
             companions=_logged_keys(companions),
             crashes=len({item.crash for item in evidence}),
-            in_turn=count_ends_in_turn(_attempts(counting)),
+            in_turn=in_turn,
             others=self._count_others(key, evidence),
             requests=len({item.request for item in evidence}),
             since_ms=now_ms - since_ms,
-            seconds=self.cfg.hold_s,
+            seconds=hold_ms / 1000,
         )
-        expires_ms = now_ms + self._hold_ms
+        expires_ms = now_ms + hold_ms
         self._set(SegmentVerdict(key, since_ms, now_ms, expires_ms, companions))
         self._urgent = True
         self.on_verdict()
--- a/tests/router/policy/test_crash.py
+++ b/tests/router/policy/test_crash.py
@@ -9,6 +9,8 @@
     CRASH_SPACING_MS,
     MIN_REQUESTS,
     MIN_WAITING_REQUESTS,
+    EndedAttempt,
+    count_ends_in_turn,
     is_fatal,
 )
 
@@ -54,3 +56,23 @@
                 at_ms = crash * 2 * CRASH_SPACING_MS + request
                 items.append(CrashEvidence(1, 2, crash, request, at_ms, responded=True))
         assert not is_fatal(items)
+
+
+class TestEndsInTurn:
+    def test_attempts_that_follow_each_other_count_each(self) -> None:
+        attempts = [EndedAttempt(at, at + 150) for at in (0, 150, 500)]
+        assert count_ends_in_turn(reversed(attempts)) == 3
+
+    def test_attempts_in_flight_together_count_once(self) -> None:
+        """Guards against endpoints that end within some seconds, for one cause."""
+        attempts = [EndedAttempt(0, at) for at in (1000, 2000, 3000)]
+        assert count_ends_in_turn(attempts) == 1
+
+    def test_ends_within_a_moment_count_once(self) -> None:
+        """Guards against an attempt that is sent between two ends with one cause."""
+        attempts = [EndedAttempt(0, 10), EndedAttempt(11, 12), EndedAttempt(13, 20)]
+        assert count_ends_in_turn(attempts) == 1
+
+    def test_one_that_was_in_flight_before_does_not_hide_a_later_end(self) -> None:
+        attempts = [EndedAttempt(0, 100), EndedAttempt(0, 300), EndedAttempt(300, 400)]
+        assert count_ends_in_turn(attempts) == 2
--- a/tests/router/test_verdict.py
+++ b/tests/router/test_verdict.py
@@ -27,6 +27,8 @@
     MAX_VERDICTS,
     MAX_VERDICTS_SENT,
     SERVED_WAIT_MS,
+    SUSPECT_IDLE_MS,
+    SUSPECT_SLOT_MS,
     TRIAL_INTERVAL_MS,
     CrashCount,
     request_key,
@@ -409,6 +411,74 @@
         fleet.advance(TRIAL_INTERVAL_MS / 1000)
         assert self.refused(fleet)
 
+    def test_each_trial_that_ends_an_endpoint_makes_it_longer(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a sound content that is refused for as long as a fatal one,
+        and a fatal one that ends an endpoint in each trial."""
+        shares = fleet.quarantine._peers.shares
+        monkeypatch.setattr(shares, "owns", lambda key: True, raising=False)
+        for _ in range(MAX_REQUEST_CRASHES):
+            fleet.advance()
+            self.end(fleet)
+        holds = []
+        for _ in range(4):
+            item = fleet.quarantine.quarantined_requests()[0]
+            holds.append((item.expires_at_ms - item.decided_at_ms) / 1000)
+            fleet.advance(holds[-1] + STEP_S)
+            assert not self.refused(fleet)
+            self.end(fleet)
+        assert holds == [30.0, 120.0, 480.0, 600.0]
+
+    def test_ends_at_one_moment_are_tried_one_at_a_time(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a content that all hosts send on, or refuse, as all endpoints
+        ended at once under it."""
+        shares = fleet.quarantine._peers.shares
+        monkeypatch.setattr(shares, "owns", lambda key: False, raising=False)
+        request = fleet.request("base", own="fatal")
+        for _ in range(MAX_REQUEST_CRASHES):
+            assert fleet.quarantine.may_send(request)
+            self.end(fleet)
+        assert not self.refused(fleet)
+        assert not fleet.quarantine.may_send(request)
+        assert fleet.quarantine.may_send(fleet.request("base", own="another"))
+        monkeypatch.setattr(shares, "owns", lambda key: True, raising=False)
+        assert fleet.quarantine.may_send(request)
+        assert not fleet.quarantine.may_send(request)
+        fleet.quarantine.record_completed(request)
+        assert fleet.quarantine.may_send(request)
+
+    def test_a_host_that_owns_no_slot_tries_one_after_a_while(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a content that nobody tries, as the hosts that own its slots
+        have no request with it, or have ended."""
+        shares = fleet.quarantine._peers.shares
+        monkeypatch.setattr(shares, "owns", lambda key: False, raising=False)
+        request = fleet.request("base", own="fatal")
+        for _ in range(MAX_REQUEST_CRASHES):
+            self.end(fleet)
+        fleet.advance((SUSPECT_IDLE_MS + SUSPECT_SLOT_MS) / 1000)
+        assert fleet.quarantine.may_send(request)
+        assert not fleet.quarantine.may_send(request)
+
+    def test_a_request_under_which_three_ended_is_not_sent_on(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against one request that ends endpoints too fast to tell whether it is
+        the cause."""
+        request = fleet.request("base", own="fatal")
+        for number in range(MAX_REQUEST_CRASHES):
+            assert fleet.quarantine.refusal(request) is None
+            endpoint = replace(ENDPOINT, started_ms=number)
+            fleet.quarantine.record_crash(
+                request, endpoint, time.monotonic(), responded=False, served=True
+            )
+        assert fleet.quarantine.refusal(request) is not None
+        assert not self.refused(fleet)
+
     def test_all_ends_are_told(self, fleet: Fleet) -> None:
         """Guards against ends that other hosts do not hear of, among many."""
         for number in range(3 * MAX_ENDED_SENT):
