Keep a SIGHUP during the start of a process from ending it

Operators: a process that got SIGHUP in its first second ended with it, as when settings change during a restart. Cause: nothing handled the signal until the role's modules were imported and its task group ran.

SIGHUP is ignored from the first line of the program until the role handles it; settings that change in between are read, as the file is also looked at without a signal. The time before the interpreter runs that line cannot be covered.

--- a/packages/daemon/src/hemlockhalld/main.py
+++ b/packages/daemon/src/hemlockhalld/main.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import anyio
-import click
-from loguru import logger
+# A SIGHUP that comes before a role handles it must not end the process: the settings
+# are read later anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import anyio  # noqa: E402
+import click  # noqa: E402
+from loguru import logger  # noqa: E402
 
 if TYPE_CHECKING:
     from hemlockhalld.process.base import Process
