Add a test of contents at endpoints that all lose their power

Attempts at endpoints that are dark already follow each other and seem to end them. It passes: silence counts after 2 s, and a content that is completed meanwhile is cleared. The soak's proxy sends nothing after its end.

--- a/packages/standins/src/hemlockhall_standins/soak/proxy.py
+++ b/packages/standins/src/hemlockhall_standins/soak/proxy.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from functools import partial
 
 import anyio
 
@@ -63,8 +62,11 @@
         """Forward a datagram, which has its sender in it."""
         if self.faults.drop_in:
             return
-        send = partial(self._datagrams.sendto, data, self._target)
-        asyncio.get_running_loop().call_later(self.faults.delay_s, send)
+        asyncio.get_running_loop().call_later(self.faults.delay_s, self._send, data)
+
+    def _send(self, data: bytes) -> None:
+        if not self._datagrams.is_closing():
+            self._datagrams.sendto(data, self._target)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/router/test_common_cause.py
+++ b/tests/router/test_common_cause.py
@@ -28,6 +28,7 @@
 SPACING_S = 3.0
 RECOVERY_S = 4.0
 COUNTED_S = 2.0
+DARK_RECOVERY_S = 8.0
 SERVED_FRACTION = 0.9
 # Sends of a fatal content after the third end under it, and the time in which hosts
 # learn of that.
@@ -99,7 +100,11 @@
         await harness.add_router(data_centre=f"place-{number % 3}")
     service = SERVICES[target]
     pool = CrashingPool(
-        harness, service, has_model=service == "pool", restart_s=BACK_S, **options
+        harness,
+        service,
+        has_model=service == "pool",
+        restart_s=options.pop("restart_s", BACK_S),
+        **options,
     )
     await pool.start(ENDPOINTS)
     return pool
@@ -167,6 +172,25 @@
             await anyio.sleep(RECOVERY_S + COUNTED_S)
             assert popular.served(since) >= SERVED_FRACTION
 
+    @pytest.mark.parametrize("target", ["/read/", "/draft/"])
+    async def test_one_is_served_after_all_endpoints_lost_their_power(
+        self, target: str
+    ) -> None:
+        """Guards against attempts at endpoints that are dark already, one after the
+        other, that count as ends under their content."""
+        random.seed(1)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            pool = await start_pool(harness, target, dark=True, restart_s=(2.5, 4.0))
+            popular = PopularContent(harness, target, callers=12)
+            popular.start()
+            await anyio.sleep(START_S)
+            for endpoint in list(pool.endpoints):
+                pool.crash(endpoint)
+            await anyio.sleep(DARK_RECOVERY_S)
+            since = time.monotonic()
+            await anyio.sleep(COUNTED_S)
+            assert popular.served(since) >= SERVED_FRACTION
+
     async def test_one_is_served_long_before_its_quarantine_would_end(self) -> None:
         """Guards against a sound content that met three ends of other requests, one
         after the other, and that nothing can clear."""
