Add a test of a shared segment whose endpoints end in a row

Endpoints that end 0.15 s apart for one cause, under streams with a segment that few have, with and without restarts of hosts.

--- a/tests/router/test_common_cause.py
+++ b/tests/router/test_common_cause.py
@@ -54,6 +54,7 @@
     harness: RouterHarness
     target: str
     content: str = "front page"
+    segments: str = "base own"
     callers: int = CALLERS
     outcomes: list[tuple[float, int]] = field(default_factory=list)
 
@@ -72,7 +73,7 @@
             self.outcomes.append((sent_at, status))
 
     async def _request(self, request_id: str) -> int:
-        headers = {"segments": "base own"} if self.target == "/draft/" else {}
+        headers = {"segments": self.segments} if self.target == "/draft/" else {}
         try:
             response = await self.harness.request(
                 self.target,
@@ -207,6 +208,35 @@
             assert popular.served(since) >= SERVED_FRACTION
 
 
+class TestSegments:
+    @pytest.mark.parametrize("restarts", [False, True])
+    async def test_one_is_served_after_endpoints_ended_in_a_row(
+        self, restarts: bool
+    ) -> None:
+        """Guards against a segment that is blamed as endpoints end in a row, for one
+        cause, under streams with it that were in flight at them before."""
+        random.seed(1)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            pool = await start_pool(harness, "/draft/")
+            for _ in range(ENDPOINTS):
+                await pool.start_one()
+            await anyio.sleep(START_S)
+            rare = PopularContent(harness, "/draft/", segments="base rare own")
+            common = PopularContent(harness, "/draft/")
+            if restarts:
+                await restart_half(harness)
+            rare.start()
+            common.start()
+            await anyio.sleep(0.5)
+            for endpoint in pool.endpoints[:ENDPOINTS]:
+                pool.crash(endpoint)
+                await anyio.sleep(0.15)
+            await anyio.sleep(RECOVERY_S)
+            since = time.monotonic()
+            await anyio.sleep(3 * COUNTED_S)
+            assert rare.served(since) >= SERVED_FRACTION
+
+
 class TestFatal:
     @pytest.mark.parametrize("callers", [1, 3, 12])
     async def test_a_popular_content_that_ends_endpoints_is_not_sent_on(
@@ -220,7 +250,7 @@
             sound = PopularContent(harness, "/read/", callers=12)
             sound.start()
             await anyio.sleep(START_S)
-            PopularContent(harness, "/read/", "fatal", callers).start()
+            PopularContent(harness, "/read/", "fatal", callers=callers).start()
             await anyio.sleep(12.0)
             ends = pool.crashes_under["fatal"]
             assert len(ends) <= 3 + SENDS_AFTER_THIRD
@@ -237,7 +267,7 @@
             sound = PopularContent(harness, "/read/", callers=12)
             sound.start()
             await anyio.sleep(START_S)
-            PopularContent(harness, "/read/", "fatal", 2).start()
+            PopularContent(harness, "/read/", "fatal", callers=2).start()
             for _ in range(3):
                 await anyio.sleep(SPACING_S)
                 for endpoint in list(pool.endpoints):
