--- a/packages/standins/src/hemlockhall_standins/soak/scenario.py
+++ b/packages/standins/src/hemlockhall_standins/soak/scenario.py
@@ -56,6 +56,9 @@
     "full": Scenario(
         SHORT_WORK, [*ENDPOINTS, "terminate", "kill"], slots=3, impatient=0.5
     ),
+    "retries": Scenario(
+        LONG_WORK, ["reset", "reset", "kill", "terminate"], (0.3, 1.5), impatient=0.5
+    ),
     "links": Scenario(LONG_WORK, [*LINKS, "terminate", "reset"]),
     "links full": Scenario(
         SHORT_WORK, [*LINKS, "terminate", "kill", "reset"], slots=3, impatient=0.5
