--- a/tests/router/test_verdict.py
+++ b/tests/router/test_verdict.py
@@ -8,7 +8,11 @@
 import pytest
 
 from hemlockhall_router.connection.message import RequestHead
-from hemlockhall_router.membership.message import CrashEvidence, SegmentVerdict
+from hemlockhall_router.membership.message import (
+    CrashEvidence,
+    EndedRequests,
+    SegmentVerdict,
+)
 from hemlockhall_router.policy.crash import (
     MAX_REQUEST_CRASHES,
     MIN_REQUESTS,
@@ -464,6 +468,22 @@
         assert fleet.quarantine.may_send(request)
         assert not fleet.quarantine.may_send(request)
 
+    @pytest.mark.parametrize(
+        ("waited_ms", "fatal"), [([], True), ([100], True), ([60_000], False)]
+    )
+    def test_ends_that_other_hosts_tell_count_in_turn(
+        self, fleet: Fleet, waited_ms: list[int], fatal: bool
+    ) -> None:
+        """Guards against ends at other hosts that count though their attempts were in
+        flight together, and against those of an older version that do not count."""
+        key = request_key(fleet.request("base", own="fatal"))
+        for crash in range(MAX_REQUEST_CRASHES):
+            fleet.advance()
+            at_ms = fleet.quarantine._now_ms()
+            ended = EndedRequests(crash, at_ms, [key], list(waited_ms))
+            fleet.quarantine.apply([], [], [ended])
+        assert self.refused(fleet) == fatal
+
     def test_a_request_under_which_three_ended_is_not_sent_on(
         self, fleet: Fleet
     ) -> None:
