--- a/packages/standins/src/hemlockhall_standins/soak/checker.py
+++ b/packages/standins/src/hemlockhall_standins/soak/checker.py
@@ -15,7 +15,6 @@
     from hemlockhall_standins.soak.history import Entry
 
 RULES: dict[str, Callable[[Run], list[str]]] = {}
-GRACE_S = 8.0
 # A host counts as disturbed for so long after a disruption of its process.
 CONTACT_S = 3.0
 # A host that leaves may cut off what was sent to it within this time, if the work goes
@@ -28,8 +27,6 @@
 SERVED_FRACTION = 0.25
 INTERVAL_S = 5.0
 MIN_REQUESTS = 20
-# The player is late itself if its loop was held up for longer.
-MAX_LAG_S = 0.25
 PROMISES = (408, 421, 429, 503)
 ENDPOINT_FAULTS = ("crash", "reset", "silent", "awake", "left")
 
@@ -168,12 +165,13 @@
 
     def cut_by_exit(self, request: Request) -> bool:
         """Return whether a host that leaves may cut a request off."""
+        allowed_s = WORK_FRACTION * self.settings["grace_s"]
         for entry in self.signals[request.host]:
             if entry.get("signal") != "SIGTERM" or request.sent_at is None:
                 continue
             if request.sent_at > entry["t"] + SENT_AFTER_TERM_S:
                 continue
-            if request.ended_at >= entry["t"] + WORK_FRACTION * GRACE_S:
+            if request.ended_at >= entry["t"] + allowed_s:
                 return True
         return False
 
@@ -309,18 +307,18 @@
 
     It can be if others of it are served, or nothing happened to its endpoints lately.
     """
+    asked_in: dict[int, Counter[tuple[str, str]]] = defaultdict(Counter)
+    served_in: dict[int, Counter[tuple[str, str]]] = defaultdict(Counter)
+    for request in run.requests.values():
+        if request.fatal or not run.in_touch(request):
+            continue
+        interval = int(request.at / INTERVAL_S)
+        key = (run.settings["services"][request.route], request.content)
+        asked_in[interval][key] += 1
+        served_in[interval][key] += request.served
     found = []
-    for start in range(int(run.ends_at / INTERVAL_S)):
-        asked: Counter[tuple[str, str]] = Counter()
-        served: Counter[tuple[str, str]] = Counter()
-        for request in run.requests.values():
-            if request.fatal or int(request.at / INTERVAL_S) != start:
-                continue
-            if not run.in_touch(request):
-                continue
-            key = (run.settings["services"][request.route], request.content)
-            asked[key] += 1
-            served[key] += request.served
+    for interval in range(int(run.ends_at / INTERVAL_S)):
+        asked, served = asked_in[interval], served_in[interval]
         for (service, content), count in asked.items():
             if count < MIN_REQUESTS:
                 continue
@@ -328,7 +326,7 @@
             others = [key for key in asked if key[0] == service and key[1] != content]
             total = sum(asked[key] for key in others)
             share = sum(served[key] for key in others) / total if total else 0.0
-            begins = start * INTERVAL_S
+            begins = interval * INTERVAL_S
             usable = share > 2 * SERVED_FRACTION or run.calm(
                 service, begins - INTERVAL_S, begins + INTERVAL_S
             )
--- a/packages/standins/src/hemlockhall_standins/soak/disruption.py
+++ b/packages/standins/src/hemlockhall_standins/soak/disruption.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -11,16 +13,13 @@
 from hemlockhall_standins.soak.proxy import LinkFaults
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from random import Random
-
     from anyio.abc import TaskGroup
 
     from hemlockhall_standins.soak.fleet import Fleet, Member
     from hemlockhall_standins.soak.history import History
     from hemlockhall_standins.soak.pool import Pool
 
-Disruption = "Callable[[Stage, Random], Awaitable[None]]"
+Disruption = Callable[["Stage", Random], Awaitable[None]]
 DISRUPTIONS: dict[str, Disruption] = {}
 # How long endpoints that ended are away.
 AWAY_S = (0.5, 3.0)
--- a/packages/standins/src/hemlockhall_standins/soak/player.py
+++ b/packages/standins/src/hemlockhall_standins/soak/player.py
@@ -18,7 +18,7 @@
 from hemlockhall_platform_standins.store import SoakStore
 from hemlockhall_standins.soak.caller import Caller, work_s
 from hemlockhall_standins.soak.disruption import DISRUPTIONS, Stage
-from hemlockhall_standins.soak.fleet import Fleet
+from hemlockhall_standins.soak.fleet import GRACE_S, Fleet
 from hemlockhall_standins.soak.pool import Pool
 from hemlockhall_standins.soak.scenario import SCENARIOS
 
@@ -37,6 +37,7 @@
 # Model servers load their layers first.
 LOAD_S = 6.0
 MODEL_SERVERS = 3
+# The player's own delay from which it is recorded.
 LAG_INTERVAL_S = 0.05
 MAX_LAG_S = 0.25
 
@@ -80,6 +81,7 @@
         ratio=RETRY_RATIO,
         constant=RETRY_CONSTANT,
         window_s=RETRY_WINDOW_S,
+        grace_s=GRACE_S,
         services=SERVICES,
     )
     address = loopback_host()
--- a/tests/standins/soak/test_checker.py
+++ b/tests/standins/soak/test_checker.py
@@ -14,6 +14,7 @@
     "ratio": 0.2,
     "constant": 15,
     "window_s": 10.0,
+    "grace_s": 8.0,
     "services": {"read": "desk", "book": "desk", "draft": "pool"},
 }
 
