Let a stale version end in a test after the attempt that it refuses

The newer version came 0.3 s after the test began, and the first attempt was later than that. It now comes 0.3 s after the first attempt was refused, which is what the test is about; its checks are the same.

--- a/tests/daemon/request/test_generation.py
+++ b/tests/daemon/request/test_generation.py
@@ -125,10 +125,12 @@
     def test_stale_version_does_not_use_up_the_retries(self) -> None:
         """The side process has a newer document. The request must wait until this
         host has it too, instead of retrying with the old version."""
-        newer_at = time.monotonic() + 0.3
+        newer_at = float("inf")
 
         def respond(message: Open) -> list[Any]:
+            nonlocal newer_at
             if message.version == 1:
+                newer_at = min(newer_at, time.monotonic() + 0.3)
                 attempt = message.attempt
                 return [Failed("r", attempt, "a", RetryReason.STALE_VERSION.value)]
             return [output_token(message.attempt, 0, 0)]
