Wait for no negative time in the stand-ins

The other waits for a difference of times in the stand-ins had the same form; one that is late, as beside load, would have ended the store or the pool of endpoints in the same way. The router has bounded its waits already (prober, shutdown).

--- a/packages/standins/src/hemlockhall_standins/router/store.py
+++ b/packages/standins/src/hemlockhall_standins/router/store.py
@@ -98,7 +98,7 @@
         await anyio.sleep(POLL_INTERVAL_S)
         while True:
             if silences != self._silences:
-                await anyio.sleep(deadline - time.monotonic())
+                await anyio.sleep(max(0.0, deadline - time.monotonic()))
                 raise StoreTimeoutError("nothing received before the deadline")
             self._raise_if_down()
             if table in self.refused_tables:
--- a/packages/standins/src/hemlockhall_standins/soak/pool.py
+++ b/packages/standins/src/hemlockhall_standins/soak/pool.py
@@ -115,7 +115,7 @@
         lapses_at = time.monotonic() + ENTRY_LAPSE_S
         await anyio.sleep(back_after_s)
         await self.start_one()
-        await anyio.sleep(lapses_at - time.monotonic())
+        await anyio.sleep(max(0.0, lapses_at - time.monotonic()))
         await self._remove_entry(endpoint.name)
 
     def _note(self, endpoint: Any, what: str) -> None:
--- a/packages/standins/src/hemlockhall_standins/storage.py
+++ b/packages/standins/src/hemlockhall_standins/storage.py
@@ -47,7 +47,7 @@
         nonlocal free_at
         size = float(req.query.get("bytes", "1e6"))
         free_at = max(free_at, time.monotonic()) + size / faults.bytes_per_s
-        await anyio.sleep(free_at - time.monotonic())
+        await anyio.sleep(max(0.0, free_at - time.monotonic()))
         return Response({"model": req.groups[0], "layer": int(req.groups[1])})
 
     return app
