Press the retry budget in the soak

New scenarios, 'pressed ...': 16 endpoints of 60 slots that reset or fail a part of the requests from the start to the end while their health check stays good, lookups with six attempts, callers that pause. With them: hosts that are all killed at once, stopped for longer than others wait for them, parted in two halves; endpoints that read nothing for seconds and then all that waits; callers that come in bursts.

--- a/packages/standins/src/hemlockhall_standins/soak/caller.py
+++ b/packages/standins/src/hemlockhall_standins/soak/caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -12,6 +13,7 @@
 from hemlockhall_platform_standins.document import PREFIXES
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from hemlockhall_standins.soak.fleet import Fleet, Member
@@ -61,6 +63,10 @@
         Draws the requests and the pauses.
     impatient : bool
         Whether it repeats at once what was not served.
+    pause_s : tuple of float
+        Bounds of the pause after each response.
+    rest_until : callable
+        Returns until when callers rest, as a monotonic time.
     """
 
     def __init__(
@@ -72,6 +78,8 @@
         rng: Random,
         *,
         impatient: bool,
+        pause_s: tuple[float, float] = (0.0, 0.05),
+        rest_until: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._number = number
         self._fleet = fleet
@@ -79,6 +87,8 @@
         self._history = history
         self._rng = rng
         self._impatient = impatient
+        self._pause_s = pause_s
+        self._rest_until = rest_until
         self._count = 0
 
     async def run(self) -> None:
@@ -95,7 +105,8 @@
                 continue
             try:
                 while await self._call(member, reader, writer):
-                    await anyio.sleep(self._rng.uniform(0.0, 0.05))
+                    await anyio.sleep(self._rng.uniform(*self._pause_s))
+                    await anyio.sleep(max(0.0, self._rest_until() - time.monotonic()))
             except ConnectionError:
                 continue
             finally:
--- a/packages/standins/src/hemlockhall_standins/soak/disruption.py
+++ b/packages/standins/src/hemlockhall_standins/soak/disruption.py
@@ -27,6 +27,11 @@
 LINK_FAULT_S = (1.0, 5.0)
 LINK_DELAY_S = (0.05, 0.6)
 STORE_AWAY_S = (1.0, 5.0)
+# A host that is stopped for so long counts as dead meanwhile.
+LONG_PAUSE_S = (3.0, 8.0)
+PARTED_S = (6.0, 14.0)
+SILENCE_S = (2.0, 7.0)
+LONG_SILENCE_S = (6.0, 12.0)
 RESETS_S = 3.0
 RESET_INTERVAL_S = 0.5
 
@@ -86,17 +91,34 @@
         stage.fleet.signal(member, "SIGKILL")
 
 
-@disruption("freeze")
-async def freeze_hosts(stage: Stage, rng: Random) -> None:
-    """Stop hosts for a while."""
+@disruption("kill all")
+async def kill_all_hosts(stage: Stage, rng: Random) -> None:
+    """Kill all hosts at one moment."""
+    for member in stage.fleet.members:
+        stage.fleet.signal(member, "SIGKILL")
+
+
+async def _freeze(stage: Stage, rng: Random, span_s: tuple[float, float]) -> None:
     members = stage.some_hosts(rng)
     for member in members:
         stage.fleet.signal(member, "SIGSTOP")
-    await anyio.sleep(rng.uniform(*PAUSE_S))
+    await anyio.sleep(rng.uniform(*span_s))
     for member in members:
         stage.fleet.signal(member, "SIGCONT")
 
 
+@disruption("freeze")
+async def freeze_hosts(stage: Stage, rng: Random) -> None:
+    """Stop hosts for a while."""
+    await _freeze(stage, rng, PAUSE_S)
+
+
+@disruption("freeze long")
+async def freeze_hosts_long(stage: Stage, rng: Random) -> None:
+    """Stop hosts until the others take them for dead."""
+    await _freeze(stage, rng, LONG_PAUSE_S)
+
+
 @disruption("reload")
 async def reload_hosts(stage: Stage, rng: Random) -> None:
     """Let hosts read their settings again."""
@@ -170,6 +192,26 @@
             group.start_soon(pool.silence, endpoint, seconds)
 
 
+async def _silence_all(stage: Stage, rng: Random, span_s: tuple[float, float]) -> None:
+    pool = rng.choice(stage.pools)
+    seconds = rng.uniform(*span_s)
+    async with anyio.create_task_group() as group:
+        for endpoint in list(pool.endpoints):
+            group.start_soon(pool.silence, endpoint, seconds)
+
+
+@disruption("silence all")
+async def silence_all_endpoints(stage: Stage, rng: Random) -> None:
+    """Let all endpoints read nothing for a while, and then what waits."""
+    await _silence_all(stage, rng, SILENCE_S)
+
+
+@disruption("silence all long")
+async def silence_all_endpoints_long(stage: Stage, rng: Random) -> None:
+    """Let all endpoints read nothing for about a window of the retry budget."""
+    await _silence_all(stage, rng, LONG_SILENCE_S)
+
+
 @disruption("replace")
 async def replace_endpoint(stage: Stage, rng: Random) -> None:
     """Replace an endpoint as planned."""
@@ -219,6 +261,26 @@
     await _disturb_links(stage, rng, list(stage.fleet.members), faults)
 
 
+@disruption("part")
+async def part_hosts(stage: Stage, rng: Random) -> None:
+    """Let the hosts of two halves not hear each other."""
+    members = list(stage.fleet.members)
+    rng.shuffle(members)
+    middle = len(members) // 2
+    parted = []
+    for half in (members[:middle], members[middle:]):
+        faults = LinkFaults(hears=frozenset(member.process.address for member in half))
+        for member in half:
+            member.proxy.faults = faults
+            parted.append((member, faults))
+            stage.history.add("link", host=member.name, hears=len(half))
+    await anyio.sleep(rng.uniform(*PARTED_S))
+    for member, faults in parted:
+        if member.proxy.faults is faults:
+            member.proxy.faults = LinkFaults()
+            stage.history.add("link", host=member.name)
+
+
 @disruption("terminate unheard")
 async def terminate_unheard(stage: Stage, rng: Random) -> None:
     """Restart several hosts while they hear nothing of each other."""
--- a/packages/standins/src/hemlockhall_standins/soak/player.py
+++ b/packages/standins/src/hemlockhall_standins/soak/player.py
@@ -5,6 +5,7 @@
 import time
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -85,7 +86,7 @@
         services=SERVICES,
     )
     address = loopback_host()
-    store = SoakStore(encode_document)
+    store = SoakStore(partial(encode_document, read_attempts=scenario.read_attempts))
     await store.start(address)
     await store.configure()
 
@@ -134,8 +135,16 @@
         def record(what: str, call: str, target: str) -> None:
             history.add("arrival", id=call, endpoint=name, what=what)
 
+        own_rng = Random(name)  # noqa: S311
         return PlainEndpoint(
-            name, "desk", store, scenario.slots, work_s, record, is_fatal
+            name,
+            "desk",
+            store,
+            scenario.slots,
+            work_s,
+            record,
+            is_fatal,
+            lambda: _draw_failure(scenario, own_rng),
         )
 
     def make_model(name: str) -> RecordedModelServer:
@@ -175,18 +184,39 @@
                 stage.history,
                 Random(rng.getrandbits(32)),  # noqa: S311
                 impatient=rng.random() < scenario.impatient,
+                pause_s=scenario.pause_s,
+                rest_until=partial(_rest_until, scenario, started),
             )
             callers.start_soon(caller.run)
         for at, name, seed in schedule:
-            await anyio.sleep(started + at - time.monotonic())
+            await anyio.sleep(max(0.0, started + at - time.monotonic()))
             stage.history.add("disruption", name=name, seed=seed)
             own_rng = Random(seed)  # noqa: S311
             stage.group.start_soon(DISRUPTIONS[name], stage, own_rng)
-        await anyio.sleep(started + seconds - time.monotonic())
+        await anyio.sleep(max(0.0, started + seconds - time.monotonic()))
         stage.history.add("end")
         callers.cancel_scope.cancel()
 
 
+def _draw_failure(scenario: Scenario, rng: Random) -> str | None:
+    """Return what an endpoint does to the next request that it does not serve."""
+    if rng.random() >= scenario.broken:
+        return None
+    return rng.choice(scenario.failures)
+
+
+def _rest_until(scenario: Scenario, started: float) -> float:
+    """Return until when callers rest, as a monotonic time."""
+    if not scenario.bursts:
+        return started
+    at = (time.monotonic() - started) % scenario.period_s
+    period_starts_at = time.monotonic() - at
+    for begins_s, ends_s in scenario.bursts:
+        if at < ends_s:
+            return period_starts_at + begins_s
+    return period_starts_at + scenario.period_s
+
+
 async def _watch_lag(history: History) -> None:
     """Record when the player's own loop is held up."""
     with suppress(anyio.get_cancelled_exc_class()):
--- a/packages/standins/src/hemlockhall_standins/soak/proxy.py
+++ b/packages/standins/src/hemlockhall_standins/soak/proxy.py
@@ -12,11 +12,26 @@
 
 @dataclass(slots=True)
 class LinkFaults:
-    """What a proxy does with bytes to its host, and with those that come back."""
+    """What a proxy does with bytes to its host, and with those that come back.
+
+    ``hears`` has the IP addresses of the hosts whose datagrams are forwarded, None for
+    all; without all of them no connection is.
+    """
 
     delay_s: float = 0.0
     drop_in: bool = False
     drop_out: bool = False
+    hears: frozenset[str] | None = None
+
+    def drops_datagram(self, sender: str) -> bool:
+        """Return whether a datagram to the host is dropped."""
+        return self.drop_in or (self.hears is not None and sender not in self.hears)
+
+    def drops_bytes(self, *, to_host: bool) -> bool:
+        """Return whether the bytes of a connection are dropped."""
+        if self.hears is not None:
+            return True
+        return self.drop_in if to_host else self.drop_out
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -24,7 +39,7 @@
         self._proxy = proxy
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._proxy.forward_datagram(data)
+        self._proxy.forward_datagram(data, addr[0])
 
 
 class HostProxy:
@@ -58,9 +73,9 @@
         for task in self._tasks:
             task.cancel()
 
-    def forward_datagram(self, data: bytes) -> None:
-        """Forward a datagram, which has its sender in it."""
-        if self.faults.drop_in:
+    def forward_datagram(self, data: bytes, sender: str) -> None:
+        """Forward a datagram from the IP address of a host."""
+        if self.faults.drops_datagram(sender):
             return
         asyncio.get_running_loop().call_later(self.faults.delay_s, self._send, data)
 
@@ -82,18 +97,18 @@
             return
         try:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._copy, reader, host_writer, "drop_in")
-                group.start_soon(self._copy, host_reader, writer, "drop_out")
+                group.start_soon(self._copy, reader, host_writer, True)
+                group.start_soon(self._copy, host_reader, writer, False)
         finally:
             writer.close()
             host_writer.close()
 
     async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, drop: str
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, to_host: bool
     ) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
-                if getattr(self.faults, drop):
+                if self.faults.drops_bytes(to_host=to_host):
                     continue
                 await asyncio.sleep(self.faults.delay_s)
                 writer.write(data)
--- a/packages/standins/src/hemlockhall_standins/soak/scenario.py
+++ b/packages/standins/src/hemlockhall_standins/soak/scenario.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
+from hemlockhall_platform_standins.endpoint import FAIL, RESET
 from hemlockhall_standins.soak.caller import Work
 
 SHORT_WORK = [
@@ -18,6 +20,8 @@
     Work("book", 0.5, 2600, contents=0, body_pause_s=0.05),
     Work("draft", 0.6, 50, contents=0, events=84, deadline_ms=20_000),
 ]
+OWN_LOOKUPS = [Work("read", 1.0, 20, contents=0)]
+SLOW_LOOKUPS = [Work("read", 1.0, 1200, deadline_ms=8000)]
 STREAMS = [Work("draft", 1.0, 50, contents=0, events=84, deadline_ms=20_000)]
 FATAL = Work("read", 0.02, 25, fatal=True)
 
@@ -27,7 +31,11 @@
     """Callers and disruptions of a run.
 
     One disruption follows the other after ``gaps_s``, whether that has ended or not.
-    ``impatient`` is the fraction of callers that repeat at once.
+    ``impatient`` is the fraction of callers that repeat at once. Callers pause for a
+    time within ``pause_s`` after each response. With ``bursts`` they send only between
+    these times of each ``period_s``. Lookups have ``read_attempts``, and
+    endpoints do not serve ``broken`` of the requests, from the start to the end, but do
+    one of ``failures`` to them.
     """
 
     works: list[Work]
@@ -37,6 +45,12 @@
     endpoints: int = 3
     slots: int = 24
     impatient: float = 0.0
+    pause_s: tuple[float, float] = (0.0, 0.05)
+    bursts: tuple[tuple[float, float], ...] = ()
+    period_s: float = 0.0
+    read_attempts: int = 3
+    broken: float = 0.0
+    failures: tuple[str, ...] = (RESET,)
 
 
 PLANNED = ["terminate", "reload", "configure", "replace"]
@@ -44,12 +58,29 @@
 ENDPOINTS = ["crash", "reset", "silence", "crash all"]
 LINKS = ["delay links", "cut links one way", "silence links", "terminate unheard"]
 
+
+def pressed(*disruptions: str, **fields: Any) -> Scenario:
+    """Return a scenario in which callers want more retries than the budget allows."""
+    defaults: dict[str, Any] = {
+        "works": SHORT_WORK,
+        "disruptions": list(disruptions),
+        "gaps_s": (0.5, 4.0),
+        "endpoints": 16,
+        "slots": 60,
+        "pause_s": (0.0, 0.66),
+        "read_attempts": 6,
+        "broken": 0.5,
+    }
+    return Scenario(**{**defaults, **fields})
+
+
 SCENARIOS = {
     "calm": Scenario(SHORT_WORK),
     "planned": Scenario(LONG_WORK, [*PLANNED, "terminate in turn"]),
     "streams": Scenario(STREAMS, ["terminate", "replace"], callers_per_host=4),
     "blackout": Scenario(SHORT_WORK, ["blackout"], (4.0, 12.0)),
     "blackout long": Scenario(LONG_WORK, ["blackout"], (2.0, 8.0)),
+    "dark": Scenario(SHORT_WORK, ["silence all", "silence all long"], (8.0, 16.0)),
     "crash all": Scenario(SHORT_WORK, ["crash all"], (0.5, 6.0)),
     "fatal": Scenario([*SHORT_WORK, FATAL], ["terminate", "crash"], endpoints=8),
     "endpoints": Scenario(LONG_WORK, ENDPOINTS),
@@ -64,10 +95,43 @@
         SHORT_WORK, [*LINKS, "terminate", "kill", "reset"], slots=3, impatient=0.5
     ),
     "all": Scenario(LONG_WORK, [*HOSTS, *ENDPOINTS, *LINKS, "add host"], impatient=0.2),
+    "pressed": pressed(),
+    "pressed kills": pressed("kill", "kill", "terminate", "kill all"),
+    "pressed links": pressed(*LINKS, "part"),
+    "pressed both": pressed(*LINKS, "part", "kill", "kill all", "freeze"),
+    "pressed growth": pressed(
+        "add host", "kill", "part", "terminate in turn", broken=0.3
+    ),
+    "pressed late": pressed("silence all", "kill", "part", broken=0.4),
+    "pressed later": pressed(
+        "silence all long",
+        works=OWN_LOOKUPS,
+        gaps_s=(14.0, 18.0),
+        failures=(FAIL,),
+        callers_per_host=40,
+        pause_s=(0.0, 4.0),
+    ),
+    "pressed store": pressed("store", "kill", "freeze", "terminate", "configure"),
+    "pressed freezes": pressed("freeze", "freeze long", "part", failures=(FAIL,)),
+    "pressed waves": pressed(
+        works=SLOW_LOOKUPS,
+        bursts=((0.0, 0.3), (8.0, 8.3)),
+        period_s=20.0,
+        failures=(FAIL,),
+        broken=0.9,
+        callers_per_host=40,
+    ),
+    "pressed failing": pressed(
+        "kill", "terminate", "kill all", *LINKS, "part", "freeze", failures=(FAIL,)
+    ),
+    "pressed all": pressed(
+        *HOSTS, *LINKS, "part", "kill all", "silence all", "add host", impatient=0.2
+    ),
 }
 
 
 __all__ = [
     "SCENARIOS",
     "Scenario",
+    "pressed",
 ]
