--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -67,7 +67,8 @@
     ``taken`` and ``sent`` count those that this process took from the budget and sent
     since it started. ``spent`` is what it took in the window, ``known`` what all hosts
     are known to have taken or reserved in it, and ``ended`` what processes took in it
-    that are not heard any more.
+    that are not heard any more. ``allowed`` is what all hosts may take in it, for
+    ``requests``.
     """
 
     taken: int
@@ -75,6 +76,8 @@
     spent: int
     known: int
     ended: int
+    requests: int
+    allowed: int
 
 
 class RetryBudget:
@@ -206,8 +209,16 @@
             _add(counts.retries, self._history.bucket(), 1)
         _, total = self._usage_of_all(service)
         spent = sum(counts.retries.values())
-        ended = self._ended(total)
-        return ServiceUsage(counts.taken, counts.sent, spent, total.retries, ended)
+        requests = max(total.requests, sum(counts.requests.values()))
+        return ServiceUsage(
+            counts.taken,
+            counts.sent,
+            spent,
+            total.retries,
+            self._ended(total),
+            requests,
+            int(SAFETY_FACTOR * (self.ratio * requests + self.constant)),
+        )
 
     def usage(self) -> list[RetryUsage]:
         """Return the usage that this host reports to the others, for each service.
--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from math import isfinite
 from typing import TYPE_CHECKING
 
 import anyio
@@ -31,6 +32,8 @@
 SETTLE_INTERVAL_S = 0.02
 # Attempts that wait for it.
 MAX_PENDING = 2048
+# Highest time without a sign of life in log lines.
+MAX_UNHEARD_MS = 600_000
 
 
 @dataclass(slots=True)
@@ -251,9 +254,22 @@
 
         It may go on, so no segment is blamed.
         """
+        request = attempt.request
         self._metrics.count("crash_attempts", "silent")
+        heard_at = self._directory.heard_at(attempt.first)
+        logger.warning(
+            "endpoint silent under request",
+            request=decode_value(request.id),
+            content=f"{request_key(request):016x}",
+            route=request.route.name,
+            endpoint=attempt.first.id,
+            waited_ms=round((attempt.at - attempt.sent_at) * 1000),
+            unheard_ms=min(MAX_UNHEARD_MS, round((attempt.sent_at - heard_at) * 1000))
+            if isfinite(heard_at)
+            else MAX_UNHEARD_MS,
+        )
         self._quarantine.record_crash(
-            attempt.request,
+            request,
             attempt.first,
             attempt.at,
             sent_at=attempt.sent_at,
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -107,8 +107,9 @@
     without waiting. ``slowdown`` is the factor on the usual time of a token, 1.0 =
     normal. ``down`` tells that it does not answer, which last changed at
     ``down_changed_at``, and ``ended`` that its process is known to have ended. The last
-    probe that it answered began at ``answered_at``. The next group of streams is moved
-    off the endpoint at ``next_move_deadline``.
+    probe that it answered began at ``answered_at``, and ``heard_at`` is the time of its
+    last response. The next group of streams is moved off the endpoint at
+    ``next_move_deadline``.
 
     ``key`` is the endpoint's number in messages between hosts. ``entry_grace_deadline``
     is set while the store has no entry of the endpoint, which may come back until
@@ -143,6 +144,7 @@
     down: bool = False
     down_changed_at: float = 0.0
     answered_at: float = float("-inf")
+    heard_at: float = float("-inf")
     ended: bool = False
     probed_at: float = 0.0
     slowdown: float = 1.0
@@ -195,6 +197,7 @@
         self.backoff_deadline = 0.0
         self.down = False
         self.ended = False
+        self.heard_at = float("-inf")
         self.slowdown = 1.0
         self.leaving_deadline = 0.0
         self.next_move_deadline = None
@@ -510,6 +513,17 @@
             return
         record.answered_at = began_at
 
+    def heard_at(self, endpoint: Endpoint) -> float:
+        """Return when this incarnation last gave a sign of life, a monotonic time.
+
+        That is a response, an event, or the begin of a probe that it answered; minus
+        infinity if there is none.
+        """
+        record = self.records.get(endpoint.id)
+        if record is None or record.endpoint.incarnation != endpoint.incarnation:
+            return float("-inf")
+        return max(record.answered_at, record.heard_at, record.last_local_event_at)
+
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Return whether this incarnation of an endpoint shuts down as planned."""
         record = self.records.get(endpoint.id)
@@ -729,6 +743,7 @@
         if record is None:
             return
         record.failures = 0
+        record.heard_at = time.monotonic()
         record.latency_s += EWMA_WEIGHT * (latency_s - record.latency_s)
 
     def record_service_time(
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -291,6 +291,8 @@
         spent=usage.spent,
         known=usage.known,
         ended=usage.ended,
+        requests=usage.requests,
+        allowed=usage.allowed,
     )
 
 
