--- a/packages/standins/src/hemlockhall_standins/soak/player.py
+++ b/packages/standins/src/hemlockhall_standins/soak/player.py
@@ -11,7 +11,11 @@
 
 import anyio
 
-from hemlockhall_platform_standins.document import SERVICES, encode_document
+from hemlockhall_platform_standins.document import (
+    RETRY_CONSTANT,
+    SERVICES,
+    encode_document,
+)
 from hemlockhall_platform_standins.endpoint import PlainEndpoint
 from hemlockhall_platform_standins.model import RecordedModelServer
 from hemlockhall_platform_standins.process import RouterProcess
@@ -30,7 +34,6 @@
     from hemlockhall_standins.soak.scenario import Scenario
 
 RETRY_RATIO = 0.2
-RETRY_CONSTANT = 15
 RETRY_WINDOW_S = 10.0
 # Callers and endpoints are calm for so long before the first disruption, and after the
 # last one.
--- a/tests/router/membership/test_retry_budget.py
+++ b/tests/router/membership/test_retry_budget.py
@@ -45,12 +45,20 @@
     """Hosts with callers whose requests all fail from ``START_S`` on."""
 
     def __init__(
-        self, hosts: int, data_centres: int, rate: float, *, seed: int = 1
+        self,
+        hosts: int,
+        data_centres: int,
+        rate: float,
+        *,
+        seed: int = 1,
+        retry: RetrySection = RETRY,
+        attempt_s: float = ATTEMPT_S,
     ) -> None:
-        self.network = Network(hosts, data_centres, seed=seed, retry=RETRY)
+        self.network = Network(hosts, data_centres, seed=seed, retry=retry)
         self.random = random.Random(seed)  # noqa: S311
         self.rate = rate
-        self.audit = RetryAudit(RETRY.ratio, RETRY.constant, RETRY.window_s)
+        self.attempt_s = attempt_s
+        self.audit = RetryAudit(retry.ratio, retry.constant, retry.window_s)
         self.pending: list[Pending] = []
         self.numbers = count(1)
         # How much more likely a request fails at some hosts, by name; 1 for the others.
@@ -80,7 +88,7 @@
             host = self.random.choice(hosts)
             if host.frozen:
                 continue
-            request = Pending(f"r{next(self.numbers)}", host, now + ATTEMPT_S)
+            request = Pending(f"r{next(self.numbers)}", host, now + self.attempt_s)
             host.budget.record_request(SERVICE)
             self.audit.record_arrival(request.id, now)
             if self.random.random() < failing * self.failing.get(host.name, 1.0):
@@ -101,7 +109,7 @@
             host.budget.record_sent(SERVICE, now)
             self.audit.record_arrival(request.id, now)
             request.attempts += 1
-            request.due_at = now + ATTEMPT_S
+            request.due_at = now + self.attempt_s
             if request.attempts < ATTEMPTS:
                 waiting.append(request)
         self.pending = waiting
@@ -302,6 +310,43 @@
         assert fleet.used() <= 1.0
 
 
+class TestBursts:
+    @pytest.mark.parametrize("attempt_s", [0.5, 1.0, 2.0])
+    @pytest.mark.parametrize(("hosts", "constant"), [(4, 15.0), (4, 198.0), (28, 15.0)])
+    def test_two_within_a_window_do_not_add_up(
+        self, hosts: int, constant: float, attempt_s: float
+    ) -> None:
+        """Guards against retries for the requests of 10 s that lie in other windows, of
+        which each has the requests of one burst only."""
+        retry = RetrySection(ratio=0.2, constant=constant, window_s=10.0)
+        rate = 20 * constant * hosts
+        fleet = Fleet(hosts, 3, 0.0, retry=retry, attempt_s=attempt_s)
+        fleet.run(2 * retry.window_s)
+        for _ in range(2):
+            fleet.rate = rate
+            fleet.run(0.2)
+            fleet.rate = 0.0
+            fleet.run(9.3 - attempt_s)
+        fleet.run(retry.window_s)
+        assert fleet.used() <= 1.0
+
+    @pytest.mark.parametrize("seed", range(SEEDS))
+    def test_many_of_any_kind(self, seed: int) -> None:
+        """Guards against other times of bursts, and failures after other times."""
+        rng = random.Random(seed)
+        retry = RetrySection(ratio=0.2, constant=15.0, window_s=10.0)
+        attempt_s = rng.choice([0.1, 0.5, 1.0, 2.0, 4.0])
+        fleet = Fleet(4, 3, 0.0, seed=seed, retry=retry, attempt_s=attempt_s)
+        fleet.run(2 * retry.window_s)
+        for _ in range(10):
+            fleet.rate = rng.choice([0.0, 20.0, 300.0, 2000.0])
+            fleet.run(rng.uniform(0.1, 1.0), rng.choice([0.3, 1.0]))
+            fleet.rate = rng.choice([0.0, 0.0, 10.0])
+            fleet.run(rng.uniform(0.5, 9.5), rng.choice([0.3, 1.0]))
+        fleet.run(retry.window_s)
+        assert fleet.used() <= 1.0
+
+
 class TestSeries:
     @pytest.mark.parametrize("seed", range(SEEDS))
     def test_disruptions_that_overlap(self, seed: int) -> None:
--- a/tests/router/test_common_cause.py
+++ b/tests/router/test_common_cause.py
@@ -20,6 +20,7 @@
 
 HOSTS = 4
 ENDPOINTS = 3
+MANY_ENDPOINTS = 16
 CALLERS = 24
 PAUSE_S = 0.05
 START_S = 2.0
@@ -208,6 +209,31 @@
             assert popular.served(since) >= SERVED_FRACTION
 
 
+class TestSilent:
+    @pytest.mark.parametrize("silence_s", [6.0, 10.0])
+    async def test_a_popular_content_is_served_once_all_endpoints_go_on(
+        self, silence_s: float
+    ) -> None:
+        """Guards against endpoints that all fall silent at one moment, are found so one
+        after the other, and count as several ends under what was sent to them."""
+        random.seed(1)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            pool = await start_pool(harness, "/read/")
+            for _ in range(MANY_ENDPOINTS - ENDPOINTS):
+                await pool.start_one()
+            popular = PopularContent(harness, "/read/", callers=12)
+            popular.start()
+            for number in range(4):
+                PopularContent(harness, "/read/", f"page {number}", callers=2).start()
+            await anyio.sleep(START_S)
+            for endpoint in list(pool.endpoints):
+                endpoint.fall_silent(silence_s)
+            await anyio.sleep(silence_s + RECOVERY_S)
+            since = time.monotonic()
+            await anyio.sleep(COUNTED_S)
+            assert popular.served(since) >= SERVED_FRACTION
+
+
 class TestSegments:
     @pytest.mark.parametrize("restarts", [False, True])
     async def test_one_is_served_after_endpoints_ended_in_a_row(
--- a/tests/router/test_shutdown.py
+++ b/tests/router/test_shutdown.py
@@ -259,6 +259,62 @@
         assert not desk.ran
 
 
+class TestEarlyRequests:
+    async def outcomes(
+        self, target: str, work_s: float, *, known: bool
+    ) -> tuple[Callers, Desk]:
+        """Send requests from the signal on until the load balancer has had its time.
+
+        One was served before if ``known`` is true.
+        """
+        desk = Desk(work_s)
+        async with router_harness(ROUTES) as harness:
+            router = await harness.add_router(grace_s=GRACE_S)
+            harness.ports.reverse()
+            await start(harness, desk)
+            callers = Callers(harness)
+            if known:
+                await callers.request(target)
+                callers.ends.clear()
+                desk.ran.clear()
+            async with anyio.create_task_group() as group:
+                group.start_soon(router.leave)
+                for _ in range(18):
+                    group.start_soon(callers.request, target)
+                    await anyio.sleep(DEREGISTRATION_S / 18)
+        return callers, desk
+
+    @pytest.mark.parametrize("work_s", [3.0, 5.0, 6.5])
+    @pytest.mark.parametrize("known", [False, True])
+    async def test_bookings_that_ran_are_answered(
+        self, work_s: float, known: bool
+    ) -> None:
+        """Guards against a booking that is passed on though nothing says that it will
+        be done by the exit, and ends with a 504 that its caller may not repeat."""
+        callers, desk = await self.outcomes("/book/", work_s, known=known)
+        for request_id, end in callers.ends.items():
+            assert end == (200 if request_id in desk.ran else 503)
+        if known and work_s < 6.0:
+            assert desk.ran
+
+    @pytest.mark.parametrize("target", ["/read/", "/draft/", "/single/"])
+    @pytest.mark.parametrize("work_s", [5.0, 6.5])
+    async def test_none_that_lasts_longer_than_the_host_is_accepted(
+        self, target: str, work_s: float
+    ) -> None:
+        """Guards against requests that are cut off, or answered with a 504, although
+        those served before took as long."""
+        callers, desk = await self.outcomes(target, work_s, known=True)
+        assert set(callers.ends.values()) <= {200, 503}
+
+    @pytest.mark.parametrize("target", ["/read/", "/book/", "/draft/"])
+    async def test_short_ones_are_served(self, target: str) -> None:
+        """Guards against a host that refuses what ends in time while the load balancer
+        still sends it new connections."""
+        callers, _ = await self.outcomes(target, 0.3, known=True)
+        assert set(callers.ends.values()) == {200}
+
+
 class TestPausingEndpoints:
     @pytest.mark.parametrize("endpoints", [1, 2])
     @pytest.mark.parametrize("target", ["/swift/", "/single/", "/book/"])
