Bound what connections read ahead, and keep bodies in parts

Cause: the bound counted bodies and not what holds them. The event loop reads 256 KB from each connection at once, and once more before it is told to stop; bodies grew as buffers that are copied and leave holes; a body that is forwarded was joined with its head and copied again by the transport.

Now the kernel's receive buffer bounds a read, for callers too; large parts of a body stay apart until it is complete; what is sent goes in parts; 24 MB bound all bodies. Not traced: how much of the whole each of the three took.

--- a/packages/router/src/hemlockhall_router/connection/body.py
+++ b/packages/router/src/hemlockhall_router/connection/body.py
@@ -1,12 +1,27 @@
-"""Memory of response bodies that are received in several reads."""
+"""Memory of bodies that are received in several reads, and of sockets."""
 
 from __future__ import annotations
 
-from hemlockhall_router.connection.error import ProtocolError
+from socket import SO_RCVBUF, SOL_SOCKET
+from typing import TYPE_CHECKING
 
-# Together on this host. A body exists two or three times while it is forwarded, and a
-# host may have 300 MB.
-MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+from anyio.abc import SocketAttribute
+
+from hemlockhall_router.connection.error import MemoryLimitError, ProtocolError
+
+if TYPE_CHECKING:
+    from anyio.abc import SocketStream
+
+# Together on this host, which may have 300 MB. A body exists twice while its parts are
+# joined.
+MAX_BUFFERED_BYTES = 24 * 1024 * 1024
+# Parts below this size are collected: each is an object.
+MIN_PART_BYTES = 16_384
+# Written at once: what the socket does not take is copied.
+SEND_BYTES = 65_536
+# Of the kernel for one connection. The event loop reads as much at once, before it is
+# told to stop, and hundreds of connections may send at full speed.
+RECEIVE_BUFFER_BYTES = 32_768
 
 
 class BodyBudget:
@@ -52,25 +67,42 @@
     def __init__(self, budget: BodyBudget, max_bytes: int) -> None:
         self._budget = budget
         self._max_bytes = max_bytes
-        self._data = bytearray()
+        # Large parts stay apart: a buffer that grows is copied again and again, and
+        # many that grow at the same time leave holes in the memory.
+        self._parts: list[bytes] = []
+        self._small = bytearray()
         self._closed = False
         self.size = 0
 
     def append(self, part: bytes) -> None:
-        """Add bytes; raise ``ProtocolError`` if there are too many."""
+        """Add bytes.
+
+        Raises ``ProtocolError`` if there are too many, ``MemoryLimitError`` if all
+        bodies together are too large and this one gives way.
+        """
         if self.size + len(part) > self._max_bytes:
             raise ProtocolError(f"the body exceeds {self._max_bytes} bytes")
         if not self._closed:
             self.size += len(part)
             self._budget.take(len(part))
         if self._closed:
-            raise ProtocolError("the bodies of all responses exceed the memory")
-        self._data += part
+            raise MemoryLimitError("all bodies together exceed the memory")
+        if len(part) < MIN_PART_BYTES:
+            self._small += part
+            if len(self._small) < MIN_PART_BYTES:
+                return
+            part = b""
+        if self._small:
+            self._parts.append(bytes(self._small))
+            self._small = bytearray()
+        if part:
+            self._parts.append(part)
 
     def complete(self) -> bytes:
         """Return the whole body."""
         self._budget.remove(self)
-        data, self._data = bytes(self._data), bytearray()
+        data = b"".join((*self._parts, self._small))
+        self._parts, self._small = [], bytearray()
         return data
 
     def close(self) -> None:
@@ -78,7 +110,7 @@
         if self._closed:
             return
         self._closed = True
-        self._data = bytearray()
+        self._parts, self._small = [], bytearray()
         self._budget.remove(self)
         self._budget.give_back(self.size)
 
@@ -90,12 +122,31 @@
     return buffer.size
 
 
-# Of the responses of endpoints.
+def limit_receive_buffer(stream: SocketStream) -> None:
+    """Bound what the kernel receives before it is read."""
+    sock = stream.extra(SocketAttribute.raw_socket)
+    sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
+async def send_in_parts(stream: SocketStream, data: bytes) -> None:
+    """Send bytes, of which only a part is copied at a time."""
+    if len(data) <= SEND_BYTES:
+        await stream.send(data)
+        return
+    for first in range(0, len(data), SEND_BYTES):
+        await stream.send(data[first : first + SEND_BYTES])
+
+
+# Of the responses of endpoints, and of the requests of callers.
 ENDPOINT_BODIES = BodyBudget()
+CALLER_BODIES = BodyBudget()
 
 
 __all__ = [
+    "CALLER_BODIES",
     "BodyBudget",
     "BodyBuffer",
     "ENDPOINT_BODIES",
+    "limit_receive_buffer",
+    "send_in_parts",
 ]
--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -12,7 +12,11 @@
 import httptools
 from anyio.abc import SocketAttribute
 
-from hemlockhall_router.connection.body import ENDPOINT_BODIES
+from hemlockhall_router.connection.body import (
+    ENDPOINT_BODIES,
+    limit_receive_buffer,
+    send_in_parts,
+)
 from hemlockhall_router.connection.decoding import PORT_LIMIT, decode_number
 from hemlockhall_router.connection.error import (
     ConnectionLostError,
@@ -174,6 +178,7 @@
         except OSError as exc:
             error = ConnectRefusedError if _refused(exc) else NotSentError
             raise error(f"{host}:{port}: connection failed: {exc}") from exc
+        limit_receive_buffer(stream)
         return cls(stream)
 
     async def send(self, data: bytes, deadline: float) -> None:
@@ -189,7 +194,7 @@
         self.reusable = False
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
-                await self._stream.send(data)
+                await send_in_parts(self._stream, data)
         except TimeoutError as exc:
             raise ConnectionLostError("timed out while sending the request") from exc
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
--- a/packages/router/src/hemlockhall_router/connection/error.py
+++ b/packages/router/src/hemlockhall_router/connection/error.py
@@ -30,16 +30,24 @@
     """The other side did not send a valid HTTP response."""
 
 
+class MemoryLimitError(ProtocolError):
+    """The bodies of all requests, or of all responses, exceed their memory."""
+
+
 class CallerError(Exception):
     """A caller's request is invalid, too large or too slow.
 
-    The response has the status code ``status`` and the body ``text``.
+    The response has the status code ``status`` and the body ``text``, and tells the
+    caller to come back after ``retry_after_s`` unless that is None.
     """
 
-    def __init__(self, status: int, text: str) -> None:
+    def __init__(
+        self, status: int, text: str, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(text)
         self.status = status
         self.text = text
+        self.retry_after_s = retry_after_s
 
 
 class CallerDisconnectedError(Exception):
@@ -51,6 +59,7 @@
     "CallerError",
     "ConnectionLostError",
     "ConnectRefusedError",
+    "MemoryLimitError",
     "NotSentError",
     "ProtocolError",
     "ReadTimeoutError",
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -11,6 +11,7 @@
 import anyio
 from loguru import logger
 
+from hemlockhall_router.connection.body import limit_receive_buffer
 from hemlockhall_router.connection.caller import CallerLimits, CallerReader
 from hemlockhall_router.connection.decoding import decode_number
 from hemlockhall_router.connection.error import CallerDisconnectedError, CallerError
@@ -194,6 +195,7 @@
                 await anyio.aclose_forcefully(stream)
             return
         routing = self._routing()
+        limit_receive_buffer(stream)
         reader = CallerReader(stream, routing.limits if routing else CallerLimits())
         try:
             with self._supervisor.contain("connection"):
--- a/packages/router/src/hemlockhall_router/request/response_writer.py
+++ b/packages/router/src/hemlockhall_router/request/response_writer.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hemlockhall_router.connection.body import SEND_BYTES
 from hemlockhall_router.connection.message import (
     REASON_PHRASES,
     encode_response_head,
@@ -107,7 +108,13 @@
         if self.close_connection:
             headers.append(CLOSE)
         self.status = status
-        await self._reader.send(encode_response_head(status, reason, headers) + body)
+        text = encode_response_head(status, reason, headers)
+        if len(body) > SEND_BYTES:
+            # Together they would be one more copy.
+            await self._reader.send(text)
+            await self._reader.send(body)
+            return
+        await self._reader.send(text + body)
 
 
 def _forwarded_headers(headers: Headers) -> Headers:
