Bound the bodies that callers send together

The same cause as with endpoints, found by looking for it elsewhere: each request may have a body of 4 MB, and nothing bounded them together. 100 callers that send all of one but its last byte made a process grow by 419 MB, beyond its machine: it ends, and all requests with it.

Bodies that do not come in one read take their memory from a budget of 24 MB. When it is spent the largest incomplete one gives way: 503 with Retry-After, as it has not run, and a counter of its own (no_memory). Small bodies go on.

Open: a body that gave way is refused when its next bytes come.

--- a/packages/router/src/hemlockhall_router/connection/caller.py
+++ b/packages/router/src/hemlockhall_router/connection/caller.py
@@ -12,7 +12,17 @@
 import httptools
 from anyio.abc import SocketAttribute
 
-from hemlockhall_router.connection.error import CallerDisconnectedError, CallerError
+from hemlockhall_router.connection.body import (
+    CALLER_BODIES,
+    BodyBuffer,
+    send_in_parts,
+)
+from hemlockhall_router.connection.error import (
+    CallerDisconnectedError,
+    CallerError,
+    MemoryLimitError,
+    ProtocolError,
+)
 from hemlockhall_router.connection.message import RequestHead, encode_response_head
 
 if TYPE_CHECKING:
@@ -32,6 +42,8 @@
 # Closing a socket with unread bytes resets the connection, and the reset can reach
 # the caller before the response: the rest of a refused request is read for this long.
 LINGERING_CLOSE_S = 0.5
+# Retry-After of a request whose body has no memory: the others come and go.
+RETRY_AFTER_MEMORY_S = 0.5
 # Interval of looking for the close of a caller that is not read from.
 CLOSE_POLL_S = 0.1
 # Events of a socket whose other end has closed or reset the connection. They show
@@ -158,6 +170,9 @@
         self._pipelined: list[bytes] = []
         self._head_bytes = 0
         self._parse_error: CallerError | None = None
+        # Holds the memory of a large body until its request is answered.
+        self._body: BodyBuffer | None = None
+        self.body_budget = CALLER_BODIES
         self.close_after_response = False
 
     async def read_head(self) -> RequestHead | None:
@@ -205,16 +220,20 @@
         Raises
         ------
         CallerError
-            If the body is invalid, too large or not complete before ``deadline``, or
-            more than ``MAX_FRAMING_BYTES`` come with hardly a byte of it.
+            If the body is invalid, too large or not complete before ``deadline``, if
+            more than ``MAX_FRAMING_BYTES`` come with hardly a byte of it, or if the
+            bodies of all callers exceed their memory.
         """
         request = self._collector.requests[0]
         framing_bytes_left = MAX_FRAMING_BYTES
         while True:
-            if len(request.body) > self.limits.body_bytes:
-                raise CallerError(413, "the body is too large")
-            if request.complete:
+            if request.complete and self._body is None:
+                if len(request.body) > self.limits.body_bytes:
+                    raise CallerError(413, "the body is too large")
                 return bytes(request.body)
+            self._store_body(request)
+            if request.complete:
+                return self._body.complete()
             if framing_bytes_left < 0:
                 raise CallerError(400, "the chunks or trailers are too large")
             if self._parse_error is not None:
@@ -223,17 +242,40 @@
                 data = await self._receive(deadline)
             except TimeoutError:
                 raise CallerError(408, "the body took too long") from None
-            size = len(request.body)
             self._feed(data)
-            size = len(request.body) - size
+            size = len(request.body)
             framing_bytes_left = min(
                 MAX_FRAMING_BYTES,
                 framing_bytes_left + size,
             )
             framing_bytes_left -= len(data) - size
 
+    def _store_body(self, request: _ParsedRequest) -> None:
+        """Move what has arrived of a body to the memory of such bodies."""
+        if self._body is None:
+            self._body = self.body_budget.open(self.limits.body_bytes)
+        try:
+            self._body.append(bytes(request.body))
+        except MemoryLimitError:
+            self._body = None
+            raise CallerError(
+                503,
+                "this host has no memory for the body: come back later",
+                RETRY_AFTER_MEMORY_S,
+            ) from None
+        except ProtocolError:
+            self._drop_body()
+            raise CallerError(413, "the body is too large") from None
+        request.body.clear()
+
+    def _drop_body(self) -> None:
+        if self._body is not None:
+            self._body.close()
+            self._body = None
+
     def finish_request(self) -> None:
         """Drop the answered request; parse pipelined bytes if no other is buffered."""
+        self._drop_body()
         request = self._collector.requests.popleft()
         if not request.complete:
             self.close_after_response = True
@@ -270,7 +312,7 @@
     async def send(self, data: bytes) -> None:
         """Send bytes or raise ``CallerDisconnectedError``."""
         try:
-            await self._stream.send(data)
+            await send_in_parts(self._stream, data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise CallerDisconnectedError from exc
 
@@ -282,6 +324,8 @@
             (b"Content-Length", b"%d" % len(body)),
             (b"Connection", b"close"),
         ]
+        if exc.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % exc.retry_after_s))
         try:
             await self.send(encode_response_head(exc.status, b"", headers) + body)
             await self.lingering_close()
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -225,7 +225,7 @@
                 finally:
                     self._idle.discard(idle)
         except CallerError as exc:
-            self._context.metrics.count_refusal(RefusalReason.UNREADABLE)
+            self._count_unreadable(exc)
             await reader.send_error(exc)
             return False
         if head is None:
@@ -244,6 +244,13 @@
         finally:
             self._open.discard(entry)
 
+    def _count_unreadable(self, exc: CallerError) -> None:
+        """Count a request that was not read whole."""
+        no_memory = exc.status == 503
+        self._context.metrics.count_refusal(
+            RefusalReason.NO_MEMORY if no_memory else RefusalReason.UNREADABLE
+        )
+
     async def _answer_aborted(self, entry: OpenRequest) -> None:
         """Answer a request on which work ended for the shutdown of this host."""
         if entry.sends:
@@ -276,7 +283,7 @@
         try:
             body = await reader.read_body(deadline)
         except CallerError as exc:
-            self._context.metrics.count_refusal(RefusalReason.UNREADABLE)
+            self._count_unreadable(exc)
             await reader.send_error(exc)
             return False
         entry.caller = caller = CallerWatch(reader)
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -9,7 +9,8 @@
     """Why this host answered a request itself, or gave a stream up.
 
     ``UNREADABLE`` means that the request could not be read from the caller,
-    ``LEAVING`` that this host shuts down before the request could be complete.
+    ``NO_MEMORY`` that the bodies of all callers exceed their memory, ``LEAVING`` that
+    this host shuts down before the request could be complete.
 
     ``UNCERTAIN`` and ``TIMEOUT`` mean that the request may have run, or that a stream
     ended after its first event. ``DEADLINE`` means that the time of the request was
@@ -29,6 +30,7 @@
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
     UNREADABLE = "unreadable"
+    NO_MEMORY = "no_memory"
     NO_ENDPOINT = "no_endpoint"
     NO_PATH = "no_path"
     NO_PERMIT = "no_permit"
--- a/tests/platform/test_flood.py
+++ b/tests/platform/test_flood.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -37,6 +37,8 @@
 LAYERS_LIMIT_S = 15.0
 # A caller asks again so long after a response.
 PAUSE_S = 1.5
+# Below what one request may have.
+BODY_BYTES = 4_000_000
 # A machine has 300 MB, and a router before many endpoints uses 75 MB in calm.
 GROWTH_BYTES = 100_000_000
 STAMP = b"x-hemlockhall-server-stamp: e.1\r\n"
@@ -66,6 +68,8 @@
         self.process = process
         self.endpoints = endpoints
         self.served = 0
+        # Of the responses to bodies that do not end.
+        self.statuses: set[int] = set()
         self._before = self._status("VmRSS")
 
     def growth(self) -> int:
@@ -108,13 +112,35 @@
             self.served += status == 200
             await anyio.sleep(PAUSE_S if "flood" in prefix or events else 0.05)
 
-    async def play(self, route: str, prefix: str, callers: int, events: int) -> None:
-        """Let callers ask for what has no end, beside some that ask for what has."""
+    async def send_body(self, number: int) -> None:
+        """Send all of a large body but its last byte, again and again."""
+        while True:
+            call = Call(
+                f"{number:08x}{time.monotonic_ns() % 2**32:08x}",
+                "POST",
+                f"{PREFIXES['book']}book-1-{number}",
+                f"{number}",
+                20_000,
+                body=b"x" * BODY_BYTES,
+            )
+            reader, writer = await asyncio.open_connection(*self.process.front)
+            try:
+                writer.write(b"".join(call.encode())[:-1])
+                await writer.drain()
+                self.statuses.add((await read_outcome(reader)).status)
+            except (ConnectionError, asyncio.IncompleteReadError):
+                self.statuses.add(0)
+            finally:
+                writer.transport.abort()
+            await anyio.sleep(PAUSE_S)
+
+    async def play(self, flood: Callable[[int], Awaitable[None]]) -> None:
+        """Let callers flood or be flooded, beside one that asks for what has an end."""
         with anyio.move_on_after(SECONDS):
             async with anyio.create_task_group() as group:
-                group.start_soon(self.ask, "read", PREFIXES["read"], callers)
-                for number in range(callers):
-                    group.start_soon(self.ask, route, prefix, number, events)
+                group.start_soon(self.ask, "read", PREFIXES["read"], CALLERS)
+                for number in range(CALLERS):
+                    group.start_soon(flood, number)
 
 
 @asynccontextmanager
@@ -164,7 +190,8 @@
         """Guards against a process that is ended for its memory, and all requests with
         it, while 100 callers ask for responses that have no end."""
         async with flooded({FLOOD_SERVICE: PLAIN[case]}) as flood:
-            await flood.play("read", FLOOD_PREFIXES["read"], CALLERS, 0)
+            prefix = FLOOD_PREFIXES["read"]
+            await flood.play(lambda number: flood.ask("read", prefix, number))
             assert sum(endpoint.floods for endpoint in flood.endpoints) >= CALLERS
             assert flood.growth() <= GROWTH_BYTES
             assert flood.process.running
@@ -176,8 +203,21 @@
     async def test_memory_is_bounded(self, case: str) -> None:
         """Guards against the same by streams of which an event has no end."""
         async with flooded({"pool": STREAMS[case]}) as flood:
-            await flood.play("draft", PREFIXES["draft"], CALLERS, 84)
+            prefix = PREFIXES["draft"]
+            await flood.play(lambda number: flood.ask("draft", prefix, number, 84))
             assert sum(endpoint.floods for endpoint in flood.endpoints) >= CALLERS
             assert flood.growth() <= GROWTH_BYTES
             assert flood.process.running
             assert flood.served > 0
+
+
+class TestCallers:
+    async def test_memory_is_bounded(self) -> None:
+        """Guards against a process that keeps the incomplete bodies of all callers."""
+        async with flooded({}) as flood:
+            await flood.play(flood.send_body)
+            assert flood.growth() <= GROWTH_BYTES
+            assert flood.process.running
+            assert flood.served > 0
+            # Not run, and told so.
+            assert flood.statuses == {503}
