Accept in a shutdown only what is likely, or certain, to end before it

What callers saw: a booking that was sent 2.2 to 3 s after SIGTERM and takes 5 s was passed on and answered with 504 at the exit; its caller may not repeat it. Requests that take longer than the estimate were cut or given up in the same way, although those a minute before took as long.

Cause: while the load balancer still sends connections, a request was accepted by an estimate of 0.5 s, or 15 ms a token, whatever such requests took.

Now the longest durations of the last minute or two, in multiples of the estimate and by route, scale it, with a quarter on top. A request that its caller may not repeat, and of whose route nothing was served lately, is accepted only if its time limit ends before the exit.

Short requests are served as before. The test of Retry-After had a booking of 8 s sent with the signal, to keep the host running; that one is refused now, so it is sent before the signal. What it asserts is unchanged.

--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -6,6 +6,7 @@
 import time
 from dataclasses import dataclass, field
 from functools import partial
+from math import inf, isfinite
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,6 +16,7 @@
 from hemlockhall_router.connection.caller import CallerLimits, CallerReader
 from hemlockhall_router.connection.decoding import decode_number
 from hemlockhall_router.connection.error import CallerDisconnectedError, CallerError
+from hemlockhall_router.process.duration import Durations
 from hemlockhall_router.process.shutdown import Shutdown
 from hemlockhall_router.request.caller_watch import CallerWatch
 from hemlockhall_router.request.plain import PlainRelay
@@ -44,6 +46,8 @@
 PLAIN_RESPONSE_S = 0.5
 # Time between two tokens on a typical path under moderate load.
 TOKEN_INTERVAL_S = 0.015
+# Multiple of the longest duration of late that a request is expected to take at most.
+LONGEST_FACTOR = 1.25
 # Interval of looking whether the last responses of a host that shuts down are sent.
 FINISH_POLL_S = 0.01
 # Retry-After before the first configuration has been received.
@@ -55,8 +59,9 @@
     """A request whose response is not complete.
 
     ``arrived_at`` is the monotonic time at which its head was read, and ``caller`` is
-    None until its body was. ``routed`` is None until it is relayed, and ``expected_s``
-    the time that it was then expected to take. Cancelling ``scope`` ends the work on it
+    None until its body was. ``routed`` is None until it is relayed, ``estimate_s`` is
+    the time that such requests usually take at most, and ``expected_s`` what it was
+    expected to take after those of late. Cancelling ``scope`` ends the work on it
     before a response is sent.
     """
 
@@ -66,6 +71,7 @@
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     caller: CallerWatch | None = None
     routed: RoutedRequest | None = None
+    estimate_s: float = 0.0
     expected_s: float = 0.0
 
     @property
@@ -129,6 +135,7 @@
         self._intake = intake
         self._idle: set[anyio.CancelScope] = set()
         self._shutdown = Shutdown()
+        self._durations = Durations(time.monotonic)
         self._open: set[OpenRequest] = set()
 
     @property
@@ -184,7 +191,9 @@
                 request=entry.request_id,
                 arrived_s=round(entry.arrived_at - left_at, 2),
                 took_s=round(now - entry.arrived_at, 2),
-                expected_s=round(entry.expected_s, 2),
+                expected_s=round(entry.expected_s, 2)
+                if isfinite(entry.expected_s)
+                else None,
                 sends=entry.sends,
             )
 
@@ -360,10 +369,14 @@
             )
             return
         self._admission.begin(request)
+        began_at = time.monotonic()
         try:
             await self._run_relay(request, response)
         finally:
             self._admission.end(request)
+        if response.complete and request.completed:
+            took_s = time.monotonic() - began_at
+            self._durations.record(request.route.name, took_s, entry.estimate_s)
 
     async def _refuse_quarantined(
         self, request: RoutedRequest, verdict: SegmentVerdict, response: ResponseWriter
@@ -412,7 +425,8 @@
         name = _choose_service(route)
         service = routing.services.get(name) or Service(name, "/", 0)
         deadline = min(deadline, entry.arrived_at + route.timeout_s)
-        entry.expected_s = _expected_duration_s(route, service, tokens)
+        entry.estimate_s = _estimated_duration_s(route, service, tokens)
+        entry.expected_s = self._expected_duration_s(route, entry.estimate_s)
         if not self._shutdown.accepts(time.monotonic(), entry.expected_s, deadline):
             raise _RefusedError(RefusalReason.LEAVING, 503, "this host is about to end")
         entry.routed = RoutedRequest(
@@ -430,6 +444,17 @@
         )
         return entry.routed
 
+    def _expected_duration_s(self, route: Route, estimate_s: float) -> float:
+        """Return the time that a request is expected to take at most.
+
+        It is infinite if none of its route was served lately and its caller could not
+        repeat it.
+        """
+        longest = self._durations.longest(route.name)
+        if longest is None:
+            return estimate_s if route.retryable else inf
+        return estimate_s * max(1.0, longest * LONGEST_FACTOR)
+
     def _authenticate(
         self, routing: RoutingConfig, route: Route, head: RequestHead
     ) -> Customer | None:
@@ -456,7 +481,7 @@
         return routing.version if routing else 0
 
 
-def _expected_duration_s(
+def _estimated_duration_s(
     route: Route, service: Service, tokens: TokenCounts | None
 ) -> float:
     """Return the time that a request usually takes at most."""
--- a/packages/router/src/hemlockhall_router/process/shutdown.py
+++ b/packages/router/src/hemlockhall_router/process/shutdown.py
@@ -14,11 +14,12 @@
 class Shutdown:
     """The times of a shutdown, all monotonic.
 
-    Until ``accept_until`` the load balancer still sends new connections here, and
-    requests are accepted that are expected to be done by ``exit_at``. After that one is
-    accepted only if its own time limit ends before: no estimate bounds the time that a
-    request takes, and one that is refused can run at another host, while one that is
-    cut off may have run. Once the host is ``closing``, none is accepted.
+    A request is accepted if its own time limit ends before ``exit_at``. Until
+    ``accept_until`` the load balancer still sends new connections here, and one is also
+    accepted if it is expected to be done by then. After that no estimate counts: it
+    bounds no time that a request takes, and one that is refused can run at another
+    host, while one that is cut off may have run. Once the host is ``closing``, none is
+    accepted.
     """
 
     accept_until: float = float("inf")
@@ -33,13 +34,14 @@
     def accepts(self, now: float, expected_s: float, deadline: float) -> bool:
         """Return whether to accept a request at the time ``now``.
 
-        It is expected to take ``expected_s`` seconds, and is given up at ``deadline``.
+        It is expected to take ``expected_s`` seconds, infinity if nothing is known of
+        that, and is given up at ``deadline``.
         """
         if self.closing:
             return False
-        if now <= self.accept_until:
-            return now + expected_s <= self.exit_at
-        return deadline <= self.exit_at
+        if deadline <= self.exit_at:
+            return True
+        return now <= self.accept_until and now + expected_s <= self.exit_at
 
     def retry_after_s(self, now: float, *, others_stay: bool) -> float:
         """Return the seconds after which a caller that is refused should come back.
--- a/tests/router/test_shutdown.py
+++ b/tests/router/test_shutdown.py
@@ -356,11 +356,13 @@
             for _ in range(2):
                 await harness.add_router(grace_s=GRACE_S)
             harness.ports.reverse()
-            await start(harness, Desk(GRACE_S))
+            desk = Desk(GRACE_S)
+            await start(harness, desk)
             callers = Callers(harness)
             async with anyio.create_task_group() as group:
                 # It keeps the host running.
                 group.start_soon(callers.request, "/book/")
+                await harness.wait_until(lambda: desk.ran)
                 for router in harness.routers[1:]:
                     group.start_soon(router.leave)
                 await anyio.sleep(DEREGISTRATION_S + 0.5)
