Count retries for requests that each window of the budget has

Cause: hosts allowed retries for the requests of the last 10 s. The rule is for any window, with the requests of that one, of the one before it or of the one half a window before it. A retry at the end of the last 10 s also lies in windows that begin 1 s or 9 s ago. Two bursts 8 s apart are both in the last 10 s, and in none of the windows that count for one that begins between them and their late failures. Evidence: 77 retries in such a window, 63 allowed, while the hosts believed 480 requests.

Now the requests are the larger of two numbers which each window with this moment has: the least of all windows that ended within the last half window, from totals that each host keeps, and those of the last half window, one more number in each report. The proof is in the docstring.

--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -103,13 +103,15 @@
     """Requests and retries of a service in the window of the retry budget.
 
     ``retries`` also counts retries that are unused, but that the retry budget reserves
-    for a host; ``taken`` counts those that were taken.
+    for a host; ``taken`` counts those that were taken. ``recent`` are the requests of
+    the last half of the window; a host of an older version sends none.
     """
 
     service: Integer
     requests: Integer
     retries: Integer
     taken: Integer = 0
+    recent: Integer = 0
 
 
 class RetryRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/router/src/hemlockhall_router/membership/tally.py
+++ b/packages/router/src/hemlockhall_router/membership/tally.py
@@ -84,6 +84,7 @@
                 old.requests + usage.requests,
                 old.retries + usage.retries,
                 old.taken + usage.taken,
+                old.recent + usage.recent,
             )
         sums[usage.service] = usage
     return list(sums.values())
--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -23,8 +23,9 @@
 # Fraction of the budget that is spent at most, apart from ``STARTUP_FRACTION``. The
 # rest covers what ended processes took and did not report.
 SAFETY_FACTOR = 0.72
-# Number of buckets in the sliding window of requests.
+# Number of buckets in the sliding window of requests, and in half of it.
 BUCKETS = 40
+HALF = BUCKETS // 2
 # Fraction of its share that a host may always spend. The rest may be borrowed by hosts
 # that need more.
 RESERVED_FRACTION = 0.5
@@ -46,12 +47,15 @@
     """Requests and retries of one service, by bucket.
 
     Retries are by buckets of the shared clock, requests by those of the window.
-    ``known_requests`` are those of all hosts, the most that were known in each bucket.
+    ``totals`` has the requests of all hosts in the window that ended in each bucket of
+    the last half window, as far as they were known, and ``known_requests`` the most
+    that allowed retries.
     ``reported`` is the number of retries in the last report, ``unreported`` that of
     those taken since.
     """
 
     requests: Buckets = field(default_factory=dict)
+    totals: Buckets = field(default_factory=dict)
     known_requests: Buckets = field(default_factory=dict)
     retries: Buckets = field(default_factory=dict)
     taken: int = 0
@@ -84,12 +88,15 @@
     """This host's share of the retry budget, for each service.
 
     In each window all hosts together may send ``ratio`` retries for each request, and
-    ``constant`` more. A host's share of ``constant`` is proportional to its share of
-    the requests. ``RESERVED_FRACTION`` of a host's share is reserved for it; the rest
-    may be borrowed by all hosts, in proportion to their shares. Other hosts may not
-    know yet what was borrowed within the last ``USAGE_LAG_S`` seconds, so all of it
-    together stays within what is known to remain. A host that is the only one knows
-    all.
+    ``constant`` more. The requests are those of that window, of the one before it, or
+    of the one half a window before it, whichever has most. A retry lies in all windows
+    that begin within the last window, and must be allowed in each of them.
+
+    A host's share of ``constant`` is proportional to its share of the requests.
+    ``RESERVED_FRACTION`` of a host's share is reserved for it; the rest may be borrowed
+    by all hosts, in proportion to their shares. Other hosts may not know yet what was
+    borrowed within the last ``USAGE_LAG_S`` seconds, so all of it together stays within
+    what is known to remain. A host that is the only one knows all.
 
     What ended processes took counts until it is out of the window. So a process that
     has just started has nothing reserved: its host may have spent its share before. It
@@ -209,7 +216,7 @@
             _add(counts.retries, self._history.bucket(), 1)
         _, total = self._usage_of_all(service)
         spent = sum(counts.retries.values())
-        requests = max(total.requests, sum(counts.requests.values()))
+        requests = self._allowed_requests(service)
         return ServiceUsage(
             counts.taken,
             counts.sent,
@@ -232,12 +239,20 @@
             spent = sum(counts.retries.values())
             counts.reported, counts.unreported = spent, 0
             requests = sum(counts.requests.values())
-            _, total = self._usage_of_all(service)
-            known = counts.known_requests
-            bucket = self._bucket()
-            known[bucket] = max(known.get(bucket, 0), total.requests, requests)
+            known, bucket = counts.known_requests, self._bucket()
+            counts.totals[bucket] = self._total_requests(service)
+            allowed = self._allowed_requests(service)
+            known[bucket] = max(known.get(bucket, 0), allowed)
             retries = max(spent, round(reserved))
-            found.append(RetryUsage(service_key(service), requests, retries, spent))
+            found.append(
+                RetryUsage(
+                    service_key(service),
+                    requests,
+                    retries,
+                    spent,
+                    self._recent(counts),
+                )
+            )
         return found
 
     def records(self) -> list[RetryRecord]:
@@ -270,10 +285,14 @@
     def _share(self, service: str) -> float:
         """Return this host's share of the budget, by its share of the requests."""
         requests = sum(self._counts(service).requests.values())
-        live_hosts, total = self._usage_of_all(service)
-        fraction = (requests + 1) / (max(requests, total.requests) + live_hosts)
+        total = self._total_requests(service)
+        live_hosts, _ = self._usage_of_all(service)
+        fraction = (requests + 1) / (total + live_hosts)
         fraction *= live_hosts / max(live_hosts, self._max_hosts())
-        return SAFETY_FACTOR * (self.ratio * requests + self.constant * fraction)
+        allowed = 0.0
+        if total:
+            allowed = self._allowed_requests(service) * requests / total
+        return SAFETY_FACTOR * (self.ratio * allowed + self.constant * fraction)
 
     def _remaining(self, service: str, share: float, reported: float) -> float:
         """Return this host's share of what all hosts have left.
@@ -282,8 +301,7 @@
         """
         live_hosts, total = self._usage_of_all(service)
         counts = self._counts(service)
-        # The total may not include this host's latest counts yet.
-        requests = max(total.requests, sum(counts.requests.values()))
+        requests = self._allowed_requests(service)
         spent = max(sum(counts.retries.values()), self._reserved(share))
         spent = max(total.retries, spent)
         fraction = live_hosts / max(live_hosts, self._max_hosts())
@@ -296,6 +314,30 @@
         left = budget - spent - max(0.0, overdraft) + reported
         return left * share / budget
 
+    def _total_requests(self, service: str) -> int:
+        """Return the requests of all hosts in the last window."""
+        _, total = self._usage_of_all(service)
+        # The total may not include this host's latest counts yet.
+        return max(total.requests, sum(self._counts(service).requests.values()))
+
+    def _allowed_requests(self, service: str) -> int:
+        """Return requests of which each window with this moment has as many.
+
+        If such a window began up to half a window ago, the one before it ended within
+        that time, and the one half a window before it has all requests of the last
+        half. If it began earlier, the one half a window before it ended within that
+        time, and it has all requests of the last half itself.
+        """
+        total = self._total_requests(service)
+        counts = self._counts(service)
+        _, usage = self._usage_of_all(service)
+        recent = max(usage.recent, self._recent(counts))
+        return max(min([total, *counts.totals.values()]), min(total, recent))
+
+    def _recent(self, counts: _Counts) -> int:
+        """Return this host's requests of the last half of a window."""
+        return sum_since(counts.requests, self._bucket() - HALF + 1)
+
     def _ended(self, total: RetryUsage) -> int:
         """Return the retries in the window of processes that are not heard any more."""
         return max(0, self._history.taken(total.service) - total.taken)
@@ -310,10 +352,14 @@
         return max(1, live_hosts), RetryUsage(key, 0, 0)
 
     def _counts(self, service: str) -> _Counts:
-        counts = self._services.setdefault(service, _Counts())
         bucket = self._bucket()
+        counts = self._services.get(service)
+        if counts is None:
+            # Nothing is known of the time before.
+            counts = self._services[service] = _Counts(totals={bucket: 0})
         _drop_before(counts.requests, bucket - BUCKETS)
-        _drop_before(counts.known_requests, bucket - BUCKETS // 2)
+        _drop_before(counts.totals, bucket - HALF)
+        _drop_before(counts.known_requests, bucket - HALF)
         _drop_before(counts.retries, self._history.oldest_bucket())
         return counts
 
