Count an end by silence only of an endpoint that was heard since the one before

What callers saw: all endpoints of a service read nothing for some seconds, and a content that many ask for was refused with fatal_request for 30 s, also when they went on (LOST).

Cause: an end counts if its attempt followed the end before. Endpoints that fall silent at one moment are found so by attempts that follow each other, so they counted as three.

Now an endpoint that falls silent is exposed from its last sign of life on, not from the send, and hosts tell each other that time, in the field that they have. While one is silent under a content, another one gets the content only if it gave a sign of life since, to a probe if need be; else the attempt is withheld (retry reason 'unheard'), which also saves requests from endpoints that are silent already. An endpoint that ends under a content was alive before, so a fatal content is found as before.

A response of any kind is a sign of life, rejections too.

--- a/packages/router/src/hemlockhall_router/policy/crash.py
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -28,9 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EndedAttempt:
-    """An attempt that ended with its endpoint, with shared times in milliseconds."""
+    """An attempt that ended with its endpoint, with shared times in milliseconds.
 
-    sent_ms: int
+    The endpoint was known to be alive at ``alive_ms``: when the request was sent, or
+    before if it fell silent.
+    """
+
+    alive_ms: int
     ended_ms: int
 
 
@@ -80,13 +84,14 @@
 def count_ends_in_turn(attempts: Iterable[EndedAttempt]) -> int:
     """Return how many endpoints ended under attempts that followed each other.
 
-    Attempts that were in flight at the same time count once, whatever ended, and ends
+    Attempts that were in flight at the same time count once, whatever ended, as do
+    endpoints that may have fallen silent at the same time, and ends
     within ``CRASH_SPACING_MS`` too: connections break a little later than endpoints
     end, and an attempt may be sent in between.
     """
     count, last_ms = 0, float("-inf")
     for attempt in sorted(attempts, key=lambda item: item.ended_ms):
-        if attempt.sent_ms < last_ms or attempt.ended_ms - last_ms < CRASH_SPACING_MS:
+        if attempt.alive_ms < last_ms or attempt.ended_ms - last_ms < CRASH_SPACING_MS:
             continue
         count, last_ms = count + 1, attempt.ended_ms
     return count
--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from math import isfinite
 from typing import TYPE_CHECKING
 
 import anyio
@@ -32,8 +31,10 @@
 SETTLE_INTERVAL_S = 0.02
 # Attempts that wait for it.
 MAX_PENDING = 2048
-# Highest time without a sign of life in log lines.
-MAX_UNHEARD_MS = 600_000
+# Longest time that an endpoint is known not to have been heard.
+MAX_UNHEARD_S = 600.0
+# Time to wait for the answer to a probe before a request is sent.
+HEARD_TIMEOUT_S = 0.6
 
 
 @dataclass(slots=True)
@@ -41,7 +42,8 @@
     """An attempt that broke off, or fell silent, at ``at``, a monotonic time.
 
     ``endpoints`` may have crashed. The request was sent to ``first`` at ``sent_at``,
-    which closed the connection if ``closed`` is true. ``served`` is true if an endpoint
+    which closed the connection if ``closed`` is true, and ``found_at`` is when this
+    host found that. ``served`` is true if an endpoint
     had served the request before, and ``lost`` once the endpoint counts as ended for
     its silence. The attempt is dropped at ``deadline``.
     """
@@ -54,6 +56,7 @@
     closed: bool
     sent_at: float
     at: float
+    found_at: float
     deadline: float
     lost: bool = False
 
@@ -145,14 +148,19 @@
             closed,
             min(at, request.sent_at.get(endpoints[0].id, at)),
             at,
+            now,
             now + CONFIRMATION_S,
         )
         self._pending.append(attempt)
         self._pending_by_request.setdefault(key, []).append(attempt)
 
-    async def settle(self, request: RoutedRequest) -> None:
-        """Wait until it is known whether too many endpoints ended under a request.
+    async def settle(self, request: RoutedRequest, endpoint: Endpoint) -> None:
+        """Wait until a request may be sent to an endpoint, as far as ends matter.
 
+        While an endpoint is silent under the content, another one gets it only if it
+        gave a sign of life since: all may be silent, for a cause of their own.
+
+        Then it must be known whether too many endpoints ended under the request.
         Connections that broke count as ends until the endpoint answers a probe, and for
         ``CONFIRMATION_S`` at most. A content that may be the cause is tried by one
         request after the other. Returns at once if too few endpoints ended.
@@ -160,8 +168,10 @@
         Raises
         ------
         AttemptFailedError
-            If the request's deadline passed meanwhile.
+            If the endpoint gives no sign of life, or the request's deadline passed
+            meanwhile.
         """
+        await self._wait_until_heard(request, endpoint)
         while self._undecided(request) or not self._quarantine.may_send(request):
             if request.remaining_s <= 0:
                 raise AttemptFailedError(
@@ -173,6 +183,46 @@
             if self._clock() - self._updated_at >= SETTLE_INTERVAL_S:
                 self.update()
 
+    async def _wait_until_heard(
+        self, request: RoutedRequest, endpoint: Endpoint
+    ) -> None:
+        deadline = min(request.deadline, self._clock() + HEARD_TIMEOUT_S)
+        while not self._heard_since_silence(request, endpoint):
+            if self._clock() >= deadline or self._directory.is_silent(endpoint):
+                raise AttemptFailedError(
+                    RetryReason.UNHEARD,
+                    "no sign of life since another endpoint fell silent under it",
+                    may_have_run=False,
+                )
+            self._request_probes([endpoint.id])
+            await anyio.sleep(SETTLE_INTERVAL_S)
+
+    def _heard_since_silence(self, request: RoutedRequest, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint was heard since others are silent under a content.
+
+        It was if none of them is, or if it has the request already.
+        """
+        if not self._pending_by_request:
+            return True
+        found_at = float("-inf")
+        for attempt in self._pending_by_request.get(request_key(request), ()):
+            if attempt.closed or attempt.first.incarnation == endpoint.incarnation:
+                continue
+            if self._may_have_ended(attempt):
+                found_at = max(found_at, attempt.found_at)
+        return self._directory.heard_at(endpoint) >= found_at
+
+    def _alive_at(self, attempt: _BrokenAttempt) -> float:
+        """Return when the first endpoint was known to be alive, for the last time.
+
+        A broken connection was alive when the request was sent. An endpoint that is
+        silent may have been so before.
+        """
+        if attempt.closed:
+            return attempt.sent_at
+        heard_at = self._directory.heard_at(attempt.first)
+        return max(attempt.at - MAX_UNHEARD_S, min(attempt.sent_at, heard_at))
+
     def _undecided(self, request: RoutedRequest) -> bool:
         """Return whether attempts may have ended the endpoints that are still allowed.
 
@@ -256,7 +306,7 @@
         """
         request = attempt.request
         self._metrics.count("crash_attempts", "silent")
-        heard_at = self._directory.heard_at(attempt.first)
+        alive_at = self._alive_at(attempt)
         logger.warning(
             "endpoint silent under request",
             request=decode_value(request.id),
@@ -264,15 +314,13 @@
             route=request.route.name,
             endpoint=attempt.first.id,
             waited_ms=round((attempt.at - attempt.sent_at) * 1000),
-            unheard_ms=min(MAX_UNHEARD_MS, round((attempt.sent_at - heard_at) * 1000))
-            if isfinite(heard_at)
-            else MAX_UNHEARD_MS,
+            unheard_ms=round((attempt.sent_at - alive_at) * 1000),
         )
         self._quarantine.record_crash(
             request,
             attempt.first,
             attempt.at,
-            sent_at=attempt.sent_at,
+            alive_at=alive_at,
             responded=False,
             served=True,
         )
@@ -300,7 +348,7 @@
             request,
             endpoint,
             attempt.at,
-            sent_at=attempt.sent_at,
+            alive_at=self._alive_at(attempt),
             responded=attempt.responded,
             served=attempt.served,
             sent_to=endpoint.incarnation == attempt.first.incarnation,
--- a/packages/router/src/hemlockhall_router/process/directory.py
+++ b/packages/router/src/hemlockhall_router/process/directory.py
@@ -513,6 +513,12 @@
             return
         record.answered_at = began_at
 
+    def record_heard(self, endpoint: Endpoint) -> None:
+        """Record a response of this incarnation, of whatever kind."""
+        record = self.records.get(endpoint.id)
+        if record is not None and record.endpoint.incarnation == endpoint.incarnation:
+            record.heard_at = time.monotonic()
+
     def heard_at(self, endpoint: Endpoint) -> float:
         """Return when this incarnation last gave a sign of life, a monotonic time.
 
@@ -743,7 +749,6 @@
         if record is None:
             return
         record.failures = 0
-        record.heard_at = time.monotonic()
         record.latency_s += EWMA_WEIGHT * (latency_s - record.latency_s)
 
     def record_service_time(
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -127,14 +127,15 @@
     """Evidence with the shared time from which it counts, and is known here.
 
     If ``own`` is true, it is against the content of the request, whose key it has in
-    place of that of a segment, and the request was sent to the endpoint at ``sent_ms``.
+    place of that of a segment, and the endpoint was last known to be alive at
+    ``alive_ms``, when the request was sent to it or before.
     """
 
     item: CrashEvidence
     counts_from_ms: int
     learned_ms: int
     own: bool = False
-    sent_ms: int = 0
+    alive_ms: int = 0
     sent: int = 0
 
 
@@ -411,7 +412,7 @@
         at: float,
         *,
         responded: bool,
-        sent_at: float | None = None,
+        alive_at: float | None = None,
         served: bool = False,
         sent_to: bool = True,
     ) -> None:
@@ -427,8 +428,9 @@
             When the attempt broke off.
         responded : bool
             Whether the head of a response had arrived, and no event.
-        sent_at : float, optional
-            When the request was sent to the endpoint; ``at`` by default.
+        alive_at : float, optional
+            When the endpoint was last known to be alive, at the latest when the request
+            was sent to it; ``at`` by default.
         served : bool, optional
             Whether an endpoint had served the request, so that no segment is blamed.
         sent_to : bool, optional
@@ -443,8 +445,8 @@
         if sent_to:
             request.crashes.add(crash)
             item = CrashEvidence(own, service, crash, own, at_ms, responded)
-            sent_ms = at_ms if sent_at is None else shared_clock.at_ms(sent_at)
-            self._add(item, sent_ms=sent_ms)
+            alive_ms = at_ms if alive_at is None else shared_clock.at_ms(alive_at)
+            self._add(item, alive_ms=alive_ms)
             # With the ends that others know it may be enough for a verdict.
             self._urgent |= len(self.request_crashes(request)) > 1
         if served:
@@ -466,7 +468,7 @@
                 if key is None:
                     break
                 item = CrashEvidence(key, 0, crash.crash, key, crash.at_ms, False)
-                self._add(item, sent_ms=crash.at_ms - (waited_ms or 0))
+                self._add(item, alive_ms=crash.at_ms - (waited_ms or 0))
         for item in evidence:
             prompt = item.prompt[:MAX_PROMPT_SUSPECTS] or (item.segment,)
             for key in prompt:
@@ -579,7 +581,7 @@
                 item.crash, EndedRequests(item.crash, item.at_ms, [], [])
             )
             known.requests.append(item.request)
-            known.waited_ms.append(item.at_ms - entry.sent_ms)
+            known.waited_ms.append(item.at_ms - entry.alive_ms)
         return list(crashes.values())
 
     def _holds(self, item: CrashEvidence) -> bool:
@@ -699,13 +701,13 @@
             return False
         return True
 
-    def _add(self, item: CrashEvidence, *, sent_ms: int | None = None) -> None:
-        """Add evidence, against the content of a request if ``sent_ms`` is given.
+    def _add(self, item: CrashEvidence, *, alive_ms: int | None = None) -> None:
+        """Add evidence, against the content of a request if ``alive_ms`` is given.
 
         That is when the request was sent to the endpoint.
         """
         now_ms = self._now_ms()
-        own = sent_ms is not None
+        own = alive_ms is not None
         if self._served_since(item.segment, item.at_ms):
             return
         if now_ms - item.at_ms > EVIDENCE_TTL_MS:
@@ -723,13 +725,13 @@
         known = suspect.evidence.get(name)
         if known is not None and own:
             # Of several attempts at one endpoint any may have ended it.
-            known.sent_ms = max(known.sent_ms, sent_ms)
+            known.alive_ms = max(known.alive_ms, alive_ms)
         if known is not None and (known.item.responded or not item.responded):
             return
         if known is None:
             label = "responded" if item.responded else "waiting"
             self._metrics.count("crash_evidence", label)
-        entry = _Evidence(item, counts_from_ms, now_ms, own, sent_ms or 0)
+        entry = _Evidence(item, counts_from_ms, now_ms, own, alive_ms or 0)
         suspect.evidence[name] = entry
         suspect.last_at_ms = max(suspect.last_at_ms, item.at_ms)
         if own:
@@ -943,7 +945,7 @@
     found = []
     for entry in evidence:
         if entry.own:
-            found.append(EndedAttempt(entry.sent_ms, entry.item.at_ms))
+            found.append(EndedAttempt(entry.alive_ms, entry.item.at_ms))
     return found
 
 
--- a/packages/router/src/hemlockhall_router/process/statement.py
+++ b/packages/router/src/hemlockhall_router/process/statement.py
@@ -163,6 +163,7 @@
         # 421 (Misdirected Request): another endpoint has the address.
         if head.status == 421:
             return EndpointStatement(rejected=True)
+        self._directory.record_heard(endpoint)
         statement = self._dialect.decode_statement(head)
         for label, cause in statement.errors.items():
             self._metrics.count("statements_unreadable", label)
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -125,7 +125,7 @@
             rest or leaves, or the request or a segment of its prompt is in quarantine,
             or the endpoint cannot be reached.
         """
-        await self._context.crashes.settle(self._request)
+        await self._context.crashes.settle(self._request, self.path.first_endpoint)
         self.active_stream.resumed = resume_after is not None
         limits = self._context.limits
         permit = limits.try_acquire(self.path.first_endpoint)
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -292,7 +292,7 @@
     async def _run_attempt(self, record: EndpointRecord) -> Response:
         request, context = self._request, self._context
         endpoint = record.endpoint
-        await context.crashes.settle(request)
+        await context.crashes.settle(request, endpoint)
         permit = context.limits.try_acquire(endpoint)
         if permit is None:
             raise AttemptFailedError(
--- a/packages/router/src/hemlockhall_router/request/reason.py
+++ b/packages/router/src/hemlockhall_router/request/reason.py
@@ -57,7 +57,9 @@
     the request was not sent, as another one took the last permit for the endpoint, and
     ``RESTING`` and ``LEAVING`` that it was not sent, as the endpoint asked for rest or
     was found to leave meanwhile. ``QUARANTINED`` means that it was not sent, as it or
-    part of its prompt was found to crash endpoints meanwhile.
+    part of its prompt was found to crash endpoints meanwhile, ``UNHEARD`` that another
+    endpoint is silent under the content, and the one that was chosen gave no sign of
+    life since.
     """
 
     NOT_SENT = "not_sent"
@@ -71,6 +73,7 @@
     RESTING = "resting"
     LEAVING = "leaving"
     QUARANTINED = "quarantined"
+    UNHEARD = "unheard"
 
 
 # Reasons of attempts in which this host decided not to send the request.
@@ -80,6 +83,7 @@
         RetryReason.RESTING,
         RetryReason.LEAVING,
         RetryReason.QUARANTINED,
+        RetryReason.UNHEARD,
     )
 )
 # Reasons of attempts during which an endpoint may have crashed.
--- a/tests/router/test_crash.py
+++ b/tests/router/test_crash.py
@@ -165,7 +165,7 @@
     async def settled(self, watch: CrashWatch, routed: RoutedRequest) -> bool:
         """Return whether a request may be sent without a wait."""
         with anyio.move_on_after(0):
-            await watch.settle(routed)
+            await watch.settle(routed, ENDPOINT)
             return True
         return False
 
