Count a retry again when its endpoint reads it late

Cause: a retry counted when it was taken, and not when it arrives. While an endpoint reads nothing it may arrive at any time; also the first send of a request does, after the retry, and is then the one beyond the first.

Now the budget keeps the sends of requests that were sent more than once until the endpoint is heard after the send, or has ended. One that is heard over a second later counts again then, and one that is not heard for a window counts again each window.

Open: what a host that is killed had sent to silent endpoints is forgotten; a request whose sends are all unread counts once too often.

--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -4,6 +4,7 @@
 
 import time
 from dataclasses import dataclass, field
+from math import inf
 from typing import TYPE_CHECKING
 
 from hemlockhall_router.membership.history import (
@@ -15,10 +16,11 @@
 from hemlockhall_router.membership.message import RetryUsage, service_key
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from hemlockhall_router.membership.history import RetryHistory
     from hemlockhall_router.membership.message import RetryRecord
+    from hemlockhall_router.version.endpoint import Endpoint
 
 # Fraction of the budget that is spent at most, apart from ``STARTUP_FRACTION``. The
 # rest covers what ended processes took and did not report.
@@ -38,8 +40,26 @@
 # Fraction of its share that a host takes at most without a report: what it has not
 # reported is unknown to all when its process ends.
 UNREPORTED_FRACTION = 0.1
-# A retry that is sent later than this after it was taken counts again when it is sent.
+# A retry that is sent, or read, later than this after it was taken counts again then.
 MAX_UNSENT_S = 1.0
+# An endpoint that was heard so long after a request was sent to it has read it: what
+# arrives before may have been sent earlier.
+READ_MARGIN_S = 0.1
+# Requests that endpoints have not read yet; more are taken for read.
+MAX_UNREAD = 4096
+
+
+@dataclass(slots=True)
+class _UnreadSend:
+    """A request that was sent more than once, at an endpoint not heard since.
+
+    It may arrive there at any time. Times are monotonic; it counted as a retry at
+    ``counted_at``.
+    """
+
+    endpoint: Endpoint
+    sent_at: float
+    counted_at: float
 
 
 @dataclass(slots=True)
@@ -51,7 +71,7 @@
     the last half window, as far as they were known, and ``known_requests`` the most
     that allowed retries.
     ``reported`` is the number of retries in the last report, ``unreported`` that of
-    those taken since.
+    those taken since. ``unread`` are sends that may arrive later.
     """
 
     requests: Buckets = field(default_factory=dict)
@@ -62,6 +82,7 @@
     sent: int = 0
     reported: int = 0
     unreported: int = 0
+    unread: list[_UnreadSend] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +147,8 @@
         Reports the ``usage`` and the ``records`` of this host at once.
     clock : callable
         Returns the time in seconds.
+    heard_at : callable
+        Returns when an endpoint last gave a sign of life, infinity once it has ended.
     """
 
     def __init__(
@@ -138,6 +161,7 @@
         history: RetryHistory,
         report: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
+        heard_at: Callable[[Endpoint], float] = lambda endpoint: inf,
     ) -> None:
         self.ratio = ratio
         self.constant = constant
@@ -146,6 +170,7 @@
         self._history = history
         self._report = report
         self._clock = clock
+        self._heard_at = heard_at
         self._started_at = clock()
         self._services: dict[str, _Counts] = {}
         self.window_s = window_s
@@ -200,7 +225,12 @@
             self._report()
         return True
 
-    def record_sent(self, service: str, taken_at: float) -> ServiceUsage:
+    def record_sent(
+        self,
+        service: str,
+        taken_at: float,
+        sends: Iterable[tuple[Endpoint, float]] = (),
+    ) -> ServiceUsage:
         """Count a retry that is sent to an endpoint; return what is known of them.
 
         Parameters
@@ -209,11 +239,17 @@
             The service of the request.
         taken_at : float
             Monotonic time in seconds at which the retry was taken.
+        sends : iterable of tuple
+            The endpoints that the request was sent to and when, so far as they were not
+            passed before. Each but the first to read it counts as a retry.
         """
         counts = self._counts(service)
         counts.sent += 1
         if self._clock() - taken_at > MAX_UNSENT_S:
             _add(counts.retries, self._history.bucket(), 1)
+        for endpoint, sent_at in sends:
+            if len(counts.unread) < MAX_UNREAD:
+                counts.unread.append(_UnreadSend(endpoint, sent_at, taken_at))
         _, total = self._usage_of_all(service)
         spent = sum(counts.retries.values())
         requests = self._allowed_requests(service)
@@ -235,6 +271,7 @@
         found = []
         for service in self._services:
             counts = self._counts(service)
+            self._count_unread(counts)
             reserved = self._reserved(self._share(service))
             spent = sum(counts.retries.values())
             counts.reported, counts.unreported = spent, 0
@@ -264,6 +301,22 @@
                 found.append(record_of(service_key(service), retries))
         return found
 
+    def _count_unread(self, counts: _Counts) -> None:
+        """Count requests again that endpoints have read late, or may read still."""
+        if not counts.unread:
+            return
+        now, bucket = self._clock(), self._history.bucket()
+        waiting = []
+        for send in counts.unread:
+            read = self._heard_at(send.endpoint) > send.sent_at + READ_MARGIN_S
+            counts_for_s = MAX_UNSENT_S if read else self.window_s
+            if now - send.counted_at > counts_for_s:
+                _add(counts.retries, bucket, 1)
+                send.counted_at = now
+            if not read:
+                waiting.append(send)
+        counts.unread = waiting
+
     def _reserved(self, share: float) -> float:
         """Return the retries that this host may always spend."""
         age_s = self._clock() - self._started_at
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -7,6 +7,7 @@
 import signal
 import time
 from functools import partial
+from math import inf
 from typing import TYPE_CHECKING
 
 import anyio
@@ -54,6 +55,7 @@
 
     from hemlockhall_router.process.setting import RouterSettings
     from hemlockhall_router.process.store import Row
+    from hemlockhall_router.version.endpoint import Endpoint
     from hemlockhall_router.version.routing import RoutingConfig
 
 # Time between two runs of the periodic work in ``_run_maintenance``.
@@ -150,6 +152,7 @@
             self.membership.retry_history,
             self.membership.report,
             time.monotonic,
+            self._heard_at,
         )
         self.limits = EndpointLimits(
             self.directory,
@@ -451,6 +454,14 @@
             await anyio.sleep(SETTINGS_POLL_INTERVAL_S)
             self._reload()
 
+    def _heard_at(self, endpoint: Endpoint) -> float:
+        """Return when an endpoint was last heard, infinity once it can read no more."""
+        if not self.directory.may_still_run(endpoint):
+            return inf
+        if self.directory.has_crashed(endpoint):
+            return inf
+        return self.directory.heard_at(endpoint)
+
     def _reload(self) -> None:
         try:
             settings = load_settings(self._path)
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -78,7 +78,8 @@
     ``completed`` is true once an endpoint has finished the response, ``sends`` counts
     how often it was sent to an endpoint, and ``retry_taken_at`` is the monotonic time
     at which the latest retry was taken for it. ``sent_at`` has the monotonic time at
-    which it was last sent, by the id of the endpoint, and ``crashes`` the keys of the
+    which it was last sent, by the id of the endpoint, ``uncounted_sends`` are those
+    that the retry budget does not know yet, and ``crashes`` the keys of the
     endpoints that ended under it.
     ``config_version`` is that of the configuration by which it was routed.
     ``key`` is the key of its content and ``segment_keys`` are those of the shared
@@ -102,6 +103,7 @@
     completed: bool = False
     sends: int = 0
     sent_at: dict[str, float] = field(default_factory=dict)
+    uncounted_sends: list[tuple[Endpoint, float]] = field(default_factory=list)
     crashes: set[int] = field(default_factory=set)
     retry_taken_at: float = inf
     config_version: int = 0
@@ -275,10 +277,14 @@
     service = request.service.name
     context.admission.record_sent(service)
     request.sends += 1
-    request.sent_at[endpoints[0].id] = time.monotonic()
+    now = request.sent_at[endpoints[0].id] = time.monotonic()
+    request.uncounted_sends.append((endpoints[0], now))
     if request.sends == 1:
         return
-    usage = context.retry_budget.record_sent(service, request.retry_taken_at)
+    usage = context.retry_budget.record_sent(
+        service, request.retry_taken_at, request.uncounted_sends
+    )
+    request.uncounted_sends.clear()
     context.metrics.count("retry_budget", "sent")
     logger.info(
         "retry sent",
