--- a/tests/standins/soak/test_soak.py
+++ b/tests/standins/soak/test_soak.py
@@ -18,11 +18,21 @@
 
 
 class TestSoak:
-    @pytest.mark.parametrize("scenario", ["planned", "crash all", "blackout", "links"])
-    async def test_no_rule_is_broken(self, scenario: str) -> None:
+    @pytest.mark.parametrize(
+        ("scenario", "seconds"),
+        [
+            ("planned", SECONDS),
+            ("crash all", SECONDS),
+            ("blackout", SECONDS),
+            ("links", SECONDS),
+            ("dark", 26.0),
+            ("pressed waves", 36.0),
+        ],
+    )
+    async def test_no_rule_is_broken(self, scenario: str, seconds: float) -> None:
         """Guards against faults that only whole processes show."""
         history = History()
-        await play(RunOptions(scenario, 1, SECONDS, HOSTS), history)
+        await play(RunOptions(scenario, 1, seconds, HOSTS), history)
         assert judge(history.entries) == {}
 
 
