Bound the bodies that side and entry processes receive

An httpx transport ends a response over 16 MB, and the largest one while those received at the same time exceed 48 MB. Content codings are not asked for, as a small body may expand.

--- a/packages/core/src/hemlockhall_core/process/table.py
+++ b/packages/core/src/hemlockhall_core/process/table.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from hemlockhall_core.connection.decoding import DecodeError, decoding, split_list
+from hemlockhall_core.connection.transport import BoundedTransport
 from hemlockhall_core.process.error import (
     RowError,
     StoreConflictError,
@@ -131,7 +132,9 @@
     """Base of the clients: an HTTP client with backoff."""
 
     def __init__(self, url: str, metrics: Metrics | None = None) -> None:
-        self._client = httpx.AsyncClient(base_url=url, timeout=STORE_TIMEOUT_S)
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=STORE_TIMEOUT_S, transport=BoundedTransport()
+        )
         self._metrics = metrics
         self._backoff = Backoff()
 
--- a/packages/daemon/src/hemlockhalld/process/calls.py
+++ b/packages/daemon/src/hemlockhalld/process/calls.py
@@ -14,6 +14,7 @@
 
 from hemlockhall_core.connection.decoding import DecodeError, decoding
 from hemlockhall_core.connection.message import CallRefused, CallResponse, Header
+from hemlockhall_core.connection.transport import BoundedTransport
 from hemlockhall_core.process.error import PlatformError, StoreUnavailableError
 from hemlockhall_core.request.reason import Ran, RefusalReason
 from hemlockhalld.request.claim import call_digest, claim_key
@@ -72,7 +73,7 @@
 
     def __init__(self, url: str, claims: Claims) -> None:
         self.active: dict[str, ActiveCall] = {}
-        self._client = httpx.AsyncClient(base_url=url)
+        self._client = httpx.AsyncClient(base_url=url, transport=BoundedTransport())
         self._claims = claims
 
     async def run(self, peer: Peer, call: Call) -> None:
--- a/packages/daemon/src/hemlockhalld/process/engine.py
+++ b/packages/daemon/src/hemlockhalld/process/engine.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from hemlockhall_core.connection.decoding import DecodeError, decoding
+from hemlockhall_core.connection.transport import BoundedTransport
 
 
 class EngineError(Exception):
@@ -91,7 +92,9 @@
     """
 
     def __init__(self, url: str, timeout_s: float) -> None:
-        self._client = httpx.AsyncClient(base_url=url, timeout=timeout_s)
+        self._client = httpx.AsyncClient(
+            base_url=url, timeout=timeout_s, transport=BoundedTransport()
+        )
 
     async def run_steps(self, items: list[StepItem]) -> list[StepResult]:
         """Run one batch; raise :class:`EngineError` without a valid response."""
