Leave a socket that is closed already as it is

By reading: a connection that ends between its accept and the call that bounds its receive buffer could raise OSError outside of what contains the errors of a connection.

--- a/packages/router/src/hemlockhall_router/connection/body.py
+++ b/packages/router/src/hemlockhall_router/connection/body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING
 
@@ -123,9 +124,10 @@
 
 
 def limit_receive_buffer(stream: SocketStream) -> None:
-    """Bound what the kernel receives before it is read."""
+    """Bound what the kernel receives before it is read, unless it is closed."""
     sock = stream.extra(SocketAttribute.raw_socket)
-    sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    with suppress(OSError):
+        sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
 
 async def send_in_parts(stream: SocketStream, data: bytes) -> None:
