Read what callers still send of a refused body for longer

What callers saw: the connection was reset in place of the 503, so they did not learn that the request had not run. Cause: the rest of a refused request was read for 0.5 s, and a socket that is closed with unread bytes is reset, which overtakes the answer. A body of 4 MB takes longer where processors are short.

The rest of a body is read for up to 10 s; it ends sooner when the caller closes.

--- a/packages/router/src/hemlockhall_router/connection/caller.py
+++ b/packages/router/src/hemlockhall_router/connection/caller.py
@@ -42,6 +42,8 @@
 # Closing a socket with unread bytes resets the connection, and the reset can reach
 # the caller before the response: the rest of a refused request is read for this long.
 LINGERING_CLOSE_S = 0.5
+# The same for a body of which the caller may have much to send.
+LINGERING_BODY_S = 10.0
 # Retry-After of a request whose body has no memory: the others come and go.
 RETRY_AFTER_MEMORY_S = 0.5
 # Interval of looking for the close of a caller that is not read from.
@@ -316,8 +318,13 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise CallerDisconnectedError from exc
 
-    async def send_error(self, exc: CallerError) -> None:
-        """Send the response to an unreadable request and end the connection."""
+    async def send_error(
+        self, exc: CallerError, linger_s: float = LINGERING_CLOSE_S
+    ) -> None:
+        """Send the response to an unreadable request and end the connection.
+
+        What the caller still sends is read for up to ``linger_s`` seconds.
+        """
         body = exc.text.encode() + b"\n"
         headers = [
             (b"Content-Type", b"text/plain; charset=utf-8"),
@@ -328,16 +335,16 @@
             headers.append((b"Retry-After", b"%.2f" % exc.retry_after_s))
         try:
             await self.send(encode_response_head(exc.status, b"", headers) + body)
-            await self.lingering_close()
+            await self.lingering_close(linger_s)
         except CallerDisconnectedError:
             return
 
-    async def lingering_close(self) -> None:
-        """Close the sending side, and read on for up to ``LINGERING_CLOSE_S``.
+    async def lingering_close(self, linger_s: float = LINGERING_CLOSE_S) -> None:
+        """Close the sending side, and read on for up to ``linger_s`` seconds.
 
         Otherwise a reset could overtake the response.
         """
-        deadline = time.monotonic() + LINGERING_CLOSE_S
+        deadline = time.monotonic() + linger_s
         try:
             await self._stream.send_eof()
             while True:
@@ -372,6 +379,7 @@
 
 
 __all__ = [
+    "LINGERING_BODY_S",
     "CallerLimits",
     "CallerReader",
     "check_framing",
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -13,7 +13,11 @@
 from loguru import logger
 
 from hemlockhall_router.connection.body import limit_receive_buffer
-from hemlockhall_router.connection.caller import CallerLimits, CallerReader
+from hemlockhall_router.connection.caller import (
+    LINGERING_BODY_S,
+    CallerLimits,
+    CallerReader,
+)
 from hemlockhall_router.connection.decoding import decode_number
 from hemlockhall_router.connection.error import CallerDisconnectedError, CallerError
 from hemlockhall_router.process.duration import Durations
@@ -293,7 +297,7 @@
             body = await reader.read_body(deadline)
         except CallerError as exc:
             self._count_unreadable(exc)
-            await reader.send_error(exc)
+            await reader.send_error(exc, LINGERING_BODY_S)
             return False
         entry.caller = caller = CallerWatch(reader)
         await caller.run(partial(self._relay_or_fail, head, body, deadline, entry))
