Expect a request that may be repeated to take the mean in a shutdown

Cause: expected each request to take as long as the longest of its route of late, with a quarter on top. One slow stream in a minute or two refuses all others. That is right for a booking, which nobody may repeat, and wrong for a stream or lookup: a refusal costs more callers more.

Those are expected to take the mean, with 5 in 100 on top. test_shutdown.py and test_duration.py pass (39).

--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -50,8 +50,10 @@
 PLAIN_RESPONSE_S = 0.5
 # Time between two tokens on a typical path under moderate load.
 TOKEN_INTERVAL_S = 0.015
-# Multiple of the longest duration of late that a request is expected to take at most.
+# Multiple of the longest duration of late that a request is expected to take if its
+# caller could not repeat it, and of the mean one if it could.
 LONGEST_FACTOR = 1.25
+MEAN_FACTOR = 1.05
 # Interval of looking whether the last responses of a host that shuts down are sent.
 FINISH_POLL_S = 0.01
 # Retry-After before the first configuration has been received.
@@ -449,14 +451,20 @@
         return entry.routed
 
     def _expected_duration_s(self, route: Route, estimate_s: float) -> float:
-        """Return the time that a request is expected to take at most.
+        """Return the time that a request is expected to take.
 
-        It is infinite if none of its route was served lately and its caller could not
-        repeat it.
+        One that its caller could not repeat is expected to take as long as any of its
+        route of late, and infinitely long if there was none. One that may be repeated
+        is expected to take the mean: a refusal would cost its caller more often than
+        the end of this host.
         """
+        if route.retryable:
+            return estimate_s * max(
+                1.0, (self._durations.mean(route.name) or 0.0) * MEAN_FACTOR
+            )
         longest = self._durations.longest(route.name)
         if longest is None:
-            return estimate_s if route.retryable else inf
+            return inf
         return estimate_s * max(1.0, longest * LONGEST_FACTOR)
 
     def _authenticate(
--- a/tests/router/test_duration.py
+++ b/tests/router/test_duration.py
@@ -14,6 +14,8 @@
         durations.record("read", 1.0, 0.5)
         durations.record("book", 0.1, 0.5)
         assert durations.longest("read") == 4.0
+        assert durations.mean("read") == 3.0
+        assert durations.mean("draft") is None
         now = PERIOD_S + 1
         assert durations.longest("read") == 4.0
         durations.record("read", 0.5, 0.5)
