End the wait for a trial with a verdict on the content

What callers saw: after three endpoints had ended at one moment under one content, its requests waited for their trial. When the verdict came they waited on, until their deadline: 503 after up to 4 s for what was known to be refused.

Cause: CrashWatch.settle looks for a slot and at the deadline, not for a verdict. None of these requests was sent, as send_request looks.

settle asks the quarantine at each turn, and the attempt ends as quarantined, not run. TestSettle, test_one_that_waits_for_a_trial_ends_with_a_verdict: failed before (did not raise), passes now.

--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -168,11 +168,17 @@
         Raises
         ------
         AttemptFailedError
-            If the endpoint gives no sign of life, or the request's deadline passed
-            meanwhile.
+            If the endpoint gives no sign of life, or the request's deadline passed or
+            it was quarantined meanwhile.
         """
         await self._wait_until_heard(request, endpoint)
         while self._undecided(request) or not self._quarantine.may_send(request):
+            if self._quarantine.refusal(request) is not None:
+                raise AttemptFailedError(
+                    RetryReason.QUARANTINED,
+                    "the request or a segment of its prompt crashes endpoints",
+                    may_have_run=False,
+                )
             if request.remaining_s <= 0:
                 raise AttemptFailedError(
                     RetryReason.QUARANTINED,
--- a/tests/router/test_crash.py
+++ b/tests/router/test_crash.py
@@ -9,11 +9,14 @@
 import pytest
 
 from hemlockhall_router.connection.message import RequestHead
+from hemlockhall_router.membership.message import SegmentVerdict
 from hemlockhall_router.policy.crash import MAX_REQUEST_CRASHES
 from hemlockhall_router.process.crash import CONFIRMATION_S, CrashWatch
 from hemlockhall_router.process.dialect import PromptSegments
 from hemlockhall_router.process.directory import Directory
 from hemlockhall_router.process.metric import Metrics
+from hemlockhall_router.process.quarantine import request_key
+from hemlockhall_router.request.failure import AttemptFailedError
 from hemlockhall_router.request.relay import RoutedRequest
 from hemlockhall_router.version.endpoint import Endpoint
 from hemlockhall_router.version.routing import Route, RouteKind, Service
@@ -199,6 +202,29 @@
         directory.record_answer(endpoint, time.monotonic())
         assert await self.settled(watch, routed)
 
+    async def test_one_that_waits_for_a_trial_ends_with_a_verdict(
+        self, directory: Directory, clock: VirtualClock
+    ) -> None:
+        """Guards against requests that wait until their deadline for a trial of a
+        content that is refused meanwhile."""
+        quarantine = make_quarantine(directory)
+        watch = CrashWatch(
+            directory, Metrics(), time.monotonic, quarantine, lambda ids: None
+        )
+        first, waiting = request("a", "own"), request("a", "own")
+        now = time.monotonic()
+        for number in range(MAX_REQUEST_CRASHES):
+            endpoint = replace(ENDPOINT, id=f"e{number}")
+            quarantine.record_crash(
+                first, endpoint, now, alive_at=now, responded=False, served=True
+            )
+        assert not await self.settled(watch, waiting)
+        now_ms = quarantine._now_ms()
+        verdict = SegmentVerdict(request_key(first), now_ms, now_ms, now_ms + 30_000)
+        quarantine.apply([], [verdict])
+        with pytest.raises(AttemptFailedError):
+            await self.settled(watch, waiting)
+
     async def test_an_answer_of_the_next_incarnation_is_none(
         self, watch: CrashWatch, directory: Directory, clock: VirtualClock
     ) -> None:
