Try a content after half a second where the slot's owner has no request

What callers saw: endpoints that end under a fatal content that several callers ask for at one moment. The third end is there at once, but the three count once, so the verdict needs two trials.

Cause: a slot whose owner has no request with the content is lost, and the other hosts begin 1 to 2 s after the last end that they learned of; twice that, and the 0.9 to 1.9 s until endpoints are back, is more than 3 s.

The others now begin half a second, one slot, after it.

--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -87,7 +87,7 @@
 # While a content is tried one request is sent in each such slot; a host that owns none
 # sends one after this time, and a further one that it draws.
 SUSPECT_SLOT_MS = 500
-SUSPECT_IDLE_MS = 1000
+SUSPECT_IDLE_MS = 500
 # Callers that are refused are told to come back within so many seconds of the end.
 CALLER_SPREAD_S = 5.0
 # Endpoints that may crash under one request: having begun to respond to it, or not. The
