Take back an end by silence when the endpoint goes on

All endpoints lived.

Cause: an endpoint without a sign of life for 2 s counts as ended under what was sent to it. Endpoints that are slow miss their probes in turn, each heard after the one before was found silent, so three of them are a verdict. A sign of life took nothing back.

A host now keeps the attempts whose endpoints count as ended for their silence, and when one of these is heard again, as the same incarnation, withdraws the end; a quarantine whose other ends do not suffice is released, which all hosts hear. Endpoints that ended are never heard again, so fatal contents are refused as before.

TestSilence in test_crash.py [True] failed before ("assert True is not True"), passes now; [False], an endpoint that stays silent, passes before and after. Not told apart at other hosts: a withdrawn end that no verdict follows stays there as evidence.

--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,8 @@
 SETTLE_INTERVAL_S = 0.02
 # Attempts that wait for it.
 MAX_PENDING = 2048
+# Time for which a silent endpoint that goes on takes back that it counts as ended.
+WITHDRAWAL_S = 600.0
 # Longest time that an endpoint is known not to have been heard.
 MAX_UNHEARD_S = 600.0
 # Time to wait for the answer to a probe before a request is sent.
@@ -44,8 +47,9 @@
     ``endpoints`` may have crashed. The request was sent to ``first`` at ``sent_at``,
     which closed the connection if ``closed`` is true, and ``found_at`` is when this
     host found that. ``served`` is true if an endpoint
-    had served the request before, and ``lost`` once the endpoint counts as ended for
-    its silence. The attempt is dropped at ``deadline``.
+    had served the request before. From ``lost_at`` on the endpoint counts as ended for
+    its silence, which is taken back if it goes on. The attempt is dropped at
+    ``deadline``.
     """
 
     request: RoutedRequest
@@ -58,7 +62,7 @@
     at: float
     found_at: float
     deadline: float
-    lost: bool = False
+    lost_at: float | None = None
 
 
 class CrashWatch:
@@ -93,6 +97,7 @@
         self._clock = clock
         self._updated_at = float("-inf")
         self._pending: list[_BrokenAttempt] = []
+        self._lost: deque[_BrokenAttempt] = deque(maxlen=MAX_PENDING)
         # By the keys of their requests.
         self._pending_by_request: dict[int, list[_BrokenAttempt]] = {}
 
@@ -264,20 +269,22 @@
     def update(self) -> None:
         """Look for the endpoints of broken attempts; called periodically."""
         now = self._updated_at = self._clock()
+        self._withdraw_ends(now)
         waiting = []
         for attempt in self._pending:
             endpoint = self._crashed_endpoint(attempt)
             if endpoint is not None:
                 self._record_crash(attempt, endpoint)
                 continue
-            if not attempt.lost and self._is_lost(attempt, now):
-                attempt.lost = True
+            if attempt.lost_at is None and self._is_lost(attempt, now):
+                attempt.lost_at = now
+                self._lost.append(attempt)
                 self._record_lost(attempt)
             if now < attempt.deadline:
                 waiting.append(attempt)
                 self._probe(attempt)
                 continue
-            if not attempt.lost:
+            if attempt.lost_at is None:
                 self._metrics.count("crash_attempts", "endpoint_lives")
         self._pending = waiting
         self._pending_by_request = {}
@@ -285,6 +292,19 @@
             key = request_key(attempt.request)
             self._pending_by_request.setdefault(key, []).append(attempt)
 
+    def _withdraw_ends(self, now: float) -> None:
+        """Take back ends of endpoints that were silent and go on."""
+        for _ in range(len(self._lost)):
+            attempt = self._lost.popleft()
+            assert attempt.lost_at is not None
+            if self._directory.heard_at(attempt.first) > attempt.lost_at:
+                self._quarantine.withdraw_crash(attempt.request, attempt.first)
+                continue
+            if self._directory.has_crashed(attempt.first):
+                continue
+            if now - attempt.lost_at < WITHDRAWAL_S:
+                self._lost.append(attempt)
+
     def _probe(self, attempt: _BrokenAttempt) -> None:
         """Let an endpoint that broke off an attempt be probed again.
 
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -456,6 +456,33 @@
         for key in prompt:
             self._add(CrashEvidence(key, service, crash, own, at_ms, responded, prompt))
 
+    def withdraw_crash(self, request: RoutedRequest, endpoint: Endpoint) -> None:
+        """Take back that an endpoint ended under a request: it was silent and goes on.
+
+        A quarantine of the content ends if the ends that are left do not suffice.
+        """
+        key = request_key(request)
+        crash = crash_key(endpoint)
+        request.crashes.discard(crash)
+        suspect = self._suspects.get(key)
+        if suspect is None or suspect.evidence.pop((crash, key), None) is None:
+            return
+        self._metrics.count("crash_evidence", "withdrawn")
+        logger.info(
+            "silent endpoint goes on",
+            request=decode_value(request.id),
+            content=f"{key:016x}",
+            endpoint=endpoint.id,
+            crashes=len(suspect.evidence),
+        )
+        fatal = is_fatal_request(_attempts(suspect.evidence.values()))
+        if not suspect.evidence:
+            del self._suspects[key]
+        verdict = self._verdicts.get(key)
+        if verdict is not None and verdict.item.quarantined and not fatal:
+            decided_ms = max(self._now_ms(), verdict.item.decided_at_ms + 1)
+            self._release(key, decided_ms, "silent endpoint goes on")
+
     def apply(
         self,
         evidence: list[CrashEvidence],
--- a/tests/router/test_crash.py
+++ b/tests/router/test_crash.py
@@ -13,7 +13,7 @@
 from hemlockhall_router.policy.crash import MAX_REQUEST_CRASHES
 from hemlockhall_router.process.crash import CONFIRMATION_S, CrashWatch
 from hemlockhall_router.process.dialect import PromptSegments
-from hemlockhall_router.process.directory import Directory
+from hemlockhall_router.process.directory import PAUSE_LIMIT_S, Directory
 from hemlockhall_router.process.metric import Metrics
 from hemlockhall_router.process.quarantine import request_key
 from hemlockhall_router.request.failure import AttemptFailedError
@@ -232,6 +232,39 @@
         assert not directory.has_answered_since(ENDPOINT, 0.0)
 
 
+class TestSilence:
+    @pytest.mark.parametrize("goes_on", [False, True])
+    def test_an_end_is_taken_back_if_the_endpoint_goes_on(
+        self, goes_on: bool, directory: Directory, clock: VirtualClock
+    ) -> None:
+        """Guards against a sound content that is refused as slow endpoints, which
+        answer no probe for a while, are found silent one after the other."""
+        quarantine = make_quarantine(directory)
+        watch = CrashWatch(
+            directory, Metrics(), time.monotonic, quarantine, lambda ids: None
+        )
+        endpoints = [replace(ENDPOINT, id=f"e{number}") for number in range(3)]
+        for endpoint in endpoints:
+            directory.add(endpoint)
+            directory.record_heard(endpoint)
+            routed = request("a", "own")
+            routed.sent_at[endpoint.id] = time.monotonic()
+            clock.advance(0.5)
+            directory.set_down(endpoint.id, down=True)
+            watch.record_attempt(routed, [endpoint], responded=False, closed=False)
+            clock.advance(0.2)
+        clock.advance(PAUSE_LIMIT_S)
+        watch.update()
+        assert quarantine.refusal(request("a", "own")) is not None
+        clock.advance(0.1)
+        if goes_on:
+            directory.set_down("e2", down=False)
+            directory.record_heard(endpoints[2])
+        watch.update()
+        refused = quarantine.refusal(request("a", "own")) is not None
+        assert refused is not goes_on
+
+
 class TestLog:
     def test_segments_in_a_line_are_bounded(self) -> None:
         """Guards against log lines that a caller makes as long as its headers."""
