Count responses that are given up for their size, by part

What operators saw of endpoints that send without end: attempts that failed as broken, like any connection that breaks; only the text of "try failed" told.

Not counted: health checks, the store and other hosts.

--- a/packages/router/src/hemlockhall_router/connection/body.py
+++ b/packages/router/src/hemlockhall_router/connection/body.py
@@ -8,7 +8,7 @@
 
 from anyio.abc import SocketAttribute
 
-from hemlockhall_router.connection.error import MemoryLimitError, ProtocolError
+from hemlockhall_router.connection.error import MemoryLimitError, SizeLimitError
 
 if TYPE_CHECKING:
     from anyio.abc import SocketStream
@@ -78,11 +78,11 @@
     def append(self, part: bytes) -> None:
         """Add bytes.
 
-        Raises ``ProtocolError`` if there are too many, ``MemoryLimitError`` if all
+        Raises ``SizeLimitError`` if there are too many, ``MemoryLimitError`` if all
         bodies together are too large and this one gives way.
         """
         if self.size + len(part) > self._max_bytes:
-            raise ProtocolError(f"the body exceeds {self._max_bytes} bytes")
+            raise SizeLimitError(f"the body exceeds {self._max_bytes} bytes")
         if not self._closed:
             self.size += len(part)
             self._budget.take(len(part))
--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -24,6 +24,7 @@
     NotSentError,
     ProtocolError,
     ReadTimeoutError,
+    SizeLimitError,
 )
 from hemlockhall_router.connection.message import Response, ResponseHead
 
@@ -86,10 +87,10 @@
 
     def on_message_begin(self) -> None:
         if len(self.responses) >= MAX_QUEUED_RESPONSES:
-            raise ProtocolError("too many responses to one request")
+            raise SizeLimitError("too many responses to one request", "responses")
         self._field_bytes_left -= FIELD_OVERHEAD_BYTES
         if self._field_bytes_left < 0:
-            raise ProtocolError("interim responses are too many")
+            raise SizeLimitError("interim responses are too many", "responses")
         self._current = _ParsedResponse()
         self.responses.append(self._current)
 
@@ -99,7 +100,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._field_bytes_left -= len(name) + len(value) + FIELD_OVERHEAD_BYTES
         if self._field_bytes_left < 0:
-            raise ProtocolError("header fields or trailers are too large")
+            raise SizeLimitError("header fields or trailers are too large", "fields")
         # Trailers are dropped: they are no part of the head.
         if self._current.head is None:
             self._current.headers.append((name, value))
@@ -218,12 +219,14 @@
         """
         self.reusable = False
         if self._heads_read >= MAX_RESPONSES_PER_REQUEST:
-            raise ProtocolError("too many responses to one request")
+            raise SizeLimitError("too many responses to one request", "responses")
         responses = self._collector.responses
         while True:
             while not responses or responses[0].head is None:
                 if self._head_bytes > MAX_HEAD_BYTES:
-                    raise ProtocolError(f"the head exceeds {MAX_HEAD_BYTES} bytes")
+                    raise SizeLimitError(
+                        f"the head exceeds {MAX_HEAD_BYTES} bytes", "head"
+                    )
                 self._head_bytes += await self._read(deadline)
             response = responses.popleft()
             assert response.head is not None
@@ -297,7 +300,7 @@
         max_body_bytes -= self._skipped_bytes
         length = decode_number(head.header(b"content-length") or b"")
         if length is not None and length > max_body_bytes and not self._no_body:
-            raise ProtocolError(f"the body exceeds {max_body_bytes} bytes")
+            raise SizeLimitError(f"the body exceeds {max_body_bytes} bytes")
         body = await self.read_chunk(deadline)
         if body is None:
             return Response(head)
@@ -327,8 +330,9 @@
         while (part := await self.read_chunk(deadline)) is not None:
             self._skipped_bytes += len(part)
             if self._skipped_bytes > MAX_SKIPPED_BYTES:
-                raise ProtocolError(
-                    f"responses to other requests exceed {MAX_SKIPPED_BYTES} bytes"
+                raise SizeLimitError(
+                    f"responses to other requests exceed {MAX_SKIPPED_BYTES} bytes",
+                    "skipped",
                 )
 
     def _count_framing(self, size: int, body_size: int) -> None:
@@ -339,7 +343,9 @@
         )
         self._framing_bytes_left = allowed - (size - body_size)
         if self._framing_bytes_left < 0:
-            raise ProtocolError("chunk sizes, extensions or trailers are too large")
+            raise SizeLimitError(
+                "chunk sizes, extensions or trailers are too large", "framing"
+            )
 
     def _finish(self) -> None:
         response, self._current = self._current, None
--- a/packages/router/src/hemlockhall_router/connection/error.py
+++ b/packages/router/src/hemlockhall_router/connection/error.py
@@ -30,9 +30,22 @@
     """The other side did not send a valid HTTP response."""
 
 
-class MemoryLimitError(ProtocolError):
+class SizeLimitError(ProtocolError):
+    """The other side sent more than is read; ``part`` says of what."""
+
+    part = "body"
+
+    def __init__(self, text: str, part: str | None = None) -> None:
+        super().__init__(text)
+        if part is not None:
+            self.part = part
+
+
+class MemoryLimitError(SizeLimitError):
     """The bodies of all requests, or of all responses, exceed their memory."""
 
+    part = "memory"
+
 
 class CallerError(Exception):
     """A caller's request is invalid, too large or too slow.
@@ -63,5 +76,6 @@
     "NotSentError",
     "ProtocolError",
     "ReadTimeoutError",
+    "SizeLimitError",
     "TransportError",
 ]
--- a/packages/router/src/hemlockhall_router/process/metric.py
+++ b/packages/router/src/hemlockhall_router/process/metric.py
@@ -9,12 +9,15 @@
 from typing import TYPE_CHECKING
 
 from hemlockhall_core.process.latency import Latency
+from hemlockhall_router.connection.error import SizeLimitError
 from hemlockhall_router.request.reason import RefusalReason, RetryReason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from enum import Enum
 
+    from hemlockhall_router.connection.error import TransportError
+
 # Percentiles rendered in each summary.
 PERCENTILES = (50.0, 95.0, 99.0)
 # Decisions of overload control; those about returning callers are counted apart.
@@ -56,6 +59,11 @@
         """Count a response by status; 0 means that the caller disconnected."""
         self.count("answers", str(status))
 
+    def count_oversized(self, exc: TransportError) -> None:
+        """Count a response that was given up for its size, by the part of it."""
+        if isinstance(exc, SizeLimitError):
+            self.count("oversized_responses", exc.part)
+
     def count(self, name: str, label: str) -> None:
         """Increment the counter ``name`` with the given label value."""
         labels = self._counters.setdefault(name, {})
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -324,6 +324,7 @@
         try:
             yield
         except TransportError as exc:
+            self._context.metrics.count_oversized(exc)
             self._context.prober.request_probes(self.endpoint_ids)
             self._timeouts.back_off()
             silent = isinstance(exc, ReadTimeoutError)
--- a/packages/router/src/hemlockhall_router/request/events.py
+++ b/packages/router/src/hemlockhall_router/request/events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hemlockhall_router.connection.error import ProtocolError
+from hemlockhall_router.connection.error import SizeLimitError
 
 if TYPE_CHECKING:
     from hemlockhall_router.connection.message import Response
@@ -42,12 +42,12 @@
 
         Raises
         ------
-        ProtocolError
+        SizeLimitError
             If an earlier call left more than ``MAX_EVENT_BYTES`` of an event, or more
             than ``MAX_EMPTY_BYTES`` of events in a row add nothing.
         """
         if len(self._pending) > MAX_EVENT_BYTES:
-            raise ProtocolError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+            raise SizeLimitError(f"an event exceeds {MAX_EVENT_BYTES} bytes", "event")
         if not self._pending:
             events, rest = self._split(data, 0)
             if rest < len(data):
@@ -87,7 +87,7 @@
         return events, start
 
     def _count_empty(self, event: Event) -> None:
-        """Raise ``ProtocolError`` if too many events in a row add nothing."""
+        """Raise ``SizeLimitError`` if too many events in a row add nothing."""
         event_id = event.id
         if event_id is not None and event_id.isdigit():
             digits = event_id.lstrip(b"0")
@@ -101,7 +101,9 @@
             return
         self._empty_bytes += len(event.raw)
         if self._empty_bytes > MAX_EMPTY_BYTES:
-            raise ProtocolError(f"{MAX_EMPTY_BYTES} bytes of events add nothing")
+            raise SizeLimitError(
+                f"{MAX_EMPTY_BYTES} bytes of events add nothing", "events"
+            )
 
     @property
     def partial(self) -> bool:
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -324,6 +324,7 @@
                 load = record.load
                 response, statement = await self._exchange(conn, record, permit)
         except TransportError as exc:
+            context.metrics.count_oversized(exc)
             silent = isinstance(exc, ReadTimeoutError)
             if not silent or not record.down:
                 # The prober tells when a silent endpoint goes on.
--- a/tests/router/test_endless.py
+++ b/tests/router/test_endless.py
@@ -66,6 +66,15 @@
             await harness.wait_until(lambda: not endless.open)
         assert len(endless.sent) == 1
 
+    @pytest.mark.parametrize("case", PLAIN)
+    async def test_one_is_counted(self, case: str) -> None:
+        """Guards against a flood that operators cannot tell from broken connections."""
+        async with router_harness(ROUTES) as harness:
+            await harness.start_endpoint("d1", EndlessResponse(*PLAIN[case]))
+            await harness.request("/book/x", method="POST")
+            counted = harness.metrics[0].counters("oversized_responses")
+        assert sum(counted.values()) == 1
+
     @pytest.mark.parametrize("case", ["header fields", "trailers", "empty lines"])
     async def test_one_that_may_run_again_is_served_elsewhere(self, case: str) -> None:
         endless = EndlessResponse(*PLAIN[case])
