Record in the soak how long hosts wait for a core

The history now has each second in which a host waited over 0.25 s according to the scheduler. No rule uses it.

--- a/packages/standins/src/hemlockhall_standins/soak/player.py
+++ b/packages/standins/src/hemlockhall_standins/soak/player.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
+from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -28,8 +29,6 @@
 from hemlockhall_standins.soak.scenario import SCENARIOS
 
 if TYPE_CHECKING:
-    from pathlib import Path
-
     from hemlockhall_standins.soak.history import History
     from hemlockhall_standins.soak.scenario import Scenario
 
@@ -44,6 +43,8 @@
 # The player's own delay from which it is recorded.
 LAG_INTERVAL_S = 0.05
 MAX_LAG_S = 0.25
+# Interval of reading how long hosts waited for a core.
+CPU_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,7 @@
             if len(pools) > 1:
                 await anyio.sleep(LOAD_S)
             group.start_soon(_watch_lag, history)
+            group.start_soon(_watch_cpu, fleet, history)
             stage = Stage(fleet, pools, store, history, group)
             await _play_series(scenario, stage, rng, options.seconds)
             group.cancel_scope.cancel()
@@ -231,6 +233,27 @@
                 history.add("lag", seconds=round(lag_s, 3))
 
 
+async def _watch_cpu(fleet: Fleet, history: History) -> None:
+    """Record which hosts waited long for a core, according to the scheduler."""
+    known: dict[int, int] = {}
+    while True:
+        for member in fleet.members:
+            process = member.process.process
+            if process is None or not member.process.running:
+                continue
+            try:
+                text = Path(f"/proc/{process.pid}/schedstat").read_text()
+            except OSError:
+                continue
+            waited_ns = int(text.split()[1])
+            waited_s = (waited_ns - known.get(process.pid, waited_ns)) / 1e9
+            known[process.pid] = waited_ns
+            if waited_s > MAX_LAG_S:
+                seconds = round(waited_s, 3)
+                history.add("starved", host=member.name, seconds=seconds)
+        await anyio.sleep(CPU_INTERVAL_S)
+
+
 __all__ = [
     "RunOptions",
     "draw_disruptions",
