Play callers that move from one group of hosts to another in the soak

The soak's callers chose their hosts evenly, so the budget was never played with a demand that moves within a window, although shifts of callers between data centres are listed for all deployments. The scenarios 'moves ...' let all callers use one group for longer than a window, and then each group in turn; endpoints fail at the end of each turn. 'moves killed ...' kills the group that loses the callers.

--- a/packages/standins/src/hemlockhall_standins/soak/caller.py
+++ b/packages/standins/src/hemlockhall_standins/soak/caller.py
@@ -106,6 +106,8 @@
             try:
                 while await self._call(member, reader, writer):
                     await anyio.sleep(self._rng.uniform(*self._pause_s))
+                    if not self._fleet.demand.uses(member):
+                        break
                     await anyio.sleep(max(0.0, self._rest_until() - time.monotonic()))
             except ConnectionError:
                 continue
--- a/packages/standins/src/hemlockhall_standins/soak/fleet.py
+++ b/packages/standins/src/hemlockhall_standins/soak/fleet.py
@@ -44,6 +44,21 @@
         return self.process.name
 
 
+@dataclass(slots=True)
+class Demand:
+    """Which hosts callers use, and whether endpoints fail now.
+
+    ``hosts`` are names of hosts; None means all.
+    """
+
+    hosts: set[str] | None = None
+    failing: bool = True
+
+    def uses(self, member: Member) -> bool:
+        """Return whether callers use a host."""
+        return self.hosts is None or member.name in self.hosts
+
+
 class Fleet:
     """Router processes, each of which is started again after it ended.
 
@@ -57,6 +72,8 @@
         Gets signals, starts and ends.
     data_centres : int
         Among how many the hosts are divided.
+    demand : Demand
+        Which hosts callers use.
     """
 
     def __init__(
@@ -65,8 +82,10 @@
         free_address: Callable[[], str],
         history: History,
         data_centres: int = 3,
+        demand: Demand | None = None,
     ) -> None:
         self.members: list[Member] = []
+        self.demand = demand or Demand()
         self._make_process = make_process
         self._free_address = free_address
         self._history = history
@@ -99,6 +118,8 @@
 
     def choose(self, rng: Random) -> Member:
         """Return the host of a new connection."""
+        if self.demand.hosts is not None:
+            return rng.choice([m for m in self.members if self.demand.uses(m)])
         members = [member for member in self.members if member.misses < MISSES]
         if len(members) * 2 < len(self.members):
             members = self.members
@@ -155,6 +176,7 @@
 
 __all__ = [
     "GRACE_S",
+    "Demand",
     "Fleet",
     "Member",
 ]
--- a/packages/standins/src/hemlockhall_standins/soak/player.py
+++ b/packages/standins/src/hemlockhall_standins/soak/player.py
@@ -13,7 +13,6 @@
 import anyio
 
 from hemlockhall_platform_standins.document import (
-    RETRY_CONSTANT,
     SERVICES,
     encode_document,
 )
@@ -24,13 +23,13 @@
 from hemlockhall_platform_standins.store import SoakStore
 from hemlockhall_standins.soak.caller import Caller, work_s
 from hemlockhall_standins.soak.disruption import DISRUPTIONS, Stage
-from hemlockhall_standins.soak.fleet import GRACE_S, Fleet
+from hemlockhall_standins.soak.fleet import GRACE_S, Demand, Fleet
 from hemlockhall_standins.soak.pool import Pool
 from hemlockhall_standins.soak.scenario import SCENARIOS
 
 if TYPE_CHECKING:
     from hemlockhall_standins.soak.history import History
-    from hemlockhall_standins.soak.scenario import Scenario
+    from hemlockhall_standins.soak.scenario import Moves, Scenario
 
 RETRY_RATIO = 0.2
 RETRY_WINDOW_S = 10.0
@@ -84,7 +83,7 @@
         seed=options.seed,
         hosts=options.hosts,
         ratio=RETRY_RATIO,
-        constant=RETRY_CONSTANT,
+        constant=scenario.retry_constant,
         window_s=RETRY_WINDOW_S,
         grace_s=GRACE_S,
         services=SERVICES,
@@ -96,14 +95,27 @@
 
     def make_process(name: str, data_centre: str, seeds: list[str]) -> RouterProcess:
         return RouterProcess(
-            name, data_centre, store.address, seeds, RETRY_CONSTANT, options.source
+            name,
+            data_centre,
+            store.address,
+            seeds,
+            scenario.retry_constant,
+            options.source,
         )
 
     pools: list[Pool] = []
-    fleet = Fleet(make_process, lambda: f"{address}:{free_port(address)}", history)
+    demand = Demand()
+    fleet = Fleet(
+        make_process,
+        lambda: f"{address}:{free_port(address)}",
+        history,
+        demand=demand,
+    )
     try:
         async with anyio.create_task_group() as group:
-            pools += await _start_pools(scenario, store, address, history, group)
+            pools += await _start_pools(
+                scenario, store, address, history, demand, group
+            )
             for _ in range(options.hosts):
                 await fleet.add(group)
             await fleet.wait_ready()
@@ -129,6 +141,7 @@
     store: SoakStore,
     address: str,
     history: History,
+    demand: Demand,
     group: anyio.abc.TaskGroup,
 ) -> list[Pool]:
     fatal_ms = {str(work.work_ms) for work in scenario.works if work.fatal}
@@ -149,7 +162,7 @@
             work_s,
             record,
             is_fatal,
-            lambda: _draw_failure(scenario, own_rng),
+            lambda: _draw_failure(scenario, own_rng) if demand.failing else None,
         )
 
     def make_model(name: str) -> RecordedModelServer:
@@ -180,6 +193,8 @@
     """Run callers and disruptions; return after the last responses."""
     schedule = draw_disruptions(scenario, rng, seconds)
     started = time.monotonic()
+    if scenario.moves is not None:
+        stage.group.start_soon(_move_callers, scenario.moves, stage)
     async with anyio.create_task_group() as callers:
         for number in range(scenario.callers_per_host * len(stage.fleet.members)):
             caller = Caller(
@@ -203,6 +218,26 @@
         callers.cancel_scope.cancel()
 
 
+async def _move_callers(moves: Moves, stage: Stage) -> None:
+    """Let each group of hosts have the callers in turn, and the first one again."""
+    members = list(stage.fleet.members)
+    groups = [members[first :: moves.group_count] for first in range(moves.group_count)]
+    demand = stage.fleet.demand
+    demand.failing = False
+    ends_at = time.monotonic() + moves.first_s
+    for group in [*groups, groups[0]]:
+        demand.hosts = {member.name for member in group}
+        stage.history.add("move", hosts=sorted(demand.hosts))
+        await anyio.sleep(ends_at - moves.failing_s - time.monotonic())
+        demand.failing = True
+        await anyio.sleep(ends_at - time.monotonic())
+        demand.failing = False
+        ends_at += moves.turn_s
+        if moves.kill:
+            for member in group:
+                stage.fleet.signal(member, "SIGKILL")
+
+
 def _draw_failure(scenario: Scenario, rng: Random) -> str | None:
     """Return what an endpoint does to the next request that it does not serve."""
     if rng.random() >= scenario.broken:
--- a/packages/standins/src/hemlockhall_standins/soak/scenario.py
+++ b/packages/standins/src/hemlockhall_standins/soak/scenario.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from hemlockhall_platform_standins.document import RETRY_CONSTANT
 from hemlockhall_platform_standins.endpoint import FAIL, RESET
 from hemlockhall_standins.soak.caller import Work
 
@@ -26,6 +27,22 @@
 FATAL = Work("read", 0.02, 25, fatal=True)
 
 
+@dataclass(frozen=True, slots=True)
+class Moves:
+    """Callers that all use one group of hosts, and move from group to group.
+
+    The first group has them for ``first_s``, each other one for ``turn_s``, and then
+    the first one again. Endpoints break off requests in the last ``failing_s`` of a
+    turn. ``kill`` tells whether the hosts that lose the callers are killed.
+    """
+
+    group_count: int
+    turn_s: float
+    failing_s: float
+    kill: bool = False
+    first_s: float = 11.5
+
+
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """Callers and disruptions of a run.
@@ -35,7 +52,9 @@
     time within ``pause_s`` after each response. With ``bursts`` they send only between
     these times of each ``period_s``. Lookups have ``read_attempts``, and
     endpoints do not serve ``broken`` of the requests, from the start to the end, but do
-    one of ``failures`` to them.
+    one of ``failures`` to them. With ``moves`` they do so at the ends of turns only,
+    and callers choose their hosts by these. ``retry_constant`` is the number of retries
+    that the budget allows besides those for each request.
     """
 
     works: list[Work]
@@ -51,6 +70,8 @@
     read_attempts: int = 3
     broken: float = 0.0
     failures: tuple[str, ...] = (RESET,)
+    moves: Moves | None = None
+    retry_constant: int = RETRY_CONSTANT
 
 
 PLANNED = ["terminate", "reload", "configure", "replace"]
@@ -74,6 +95,19 @@
     return Scenario(**{**defaults, **fields})
 
 
+def moving(group_count: int, turn_s: float, *, kill: bool, callers: int) -> Scenario:
+    """Return a scenario in which callers move, each time after a burst of failures."""
+    return pressed(
+        works=[Work("read", 1.0, 20)],
+        callers_per_host=callers,
+        pause_s=(0.0, 0.8),
+        failures=(FAIL,),
+        broken=1.0,
+        moves=Moves(group_count, turn_s, failing_s=1.1, kill=kill),
+        retry_constant=198,
+    )
+
+
 SCENARIOS = {
     "calm": Scenario(SHORT_WORK),
     "planned": Scenario(LONG_WORK, [*PLANNED, "terminate in turn"]),
@@ -121,6 +155,10 @@
         broken=0.9,
         callers_per_host=40,
     ),
+    "moves 2": moving(2, 8.2, kill=False, callers=60),
+    "moves 4": moving(4, 2.6, kill=False, callers=30),
+    "moves killed 4": moving(4, 2.6, kill=True, callers=25),
+    "moves killed 6": moving(6, 1.6, kill=True, callers=20),
     "pressed failing": pressed(
         "kill", "terminate", "kill all", *LINKS, "part", "freeze", failures=(FAIL,)
     ),
@@ -132,6 +170,7 @@
 
 __all__ = [
     "SCENARIOS",
+    "Moves",
     "Scenario",
     "pressed",
 ]
