Log what tells the causes of an exceeded retry budget apart

No change of logic. 'retry sent' did not say whether a retry beyond what was known to be left was taken from the reserve (hypothesis 1), how many retries would be forgotten if the process ended (2), and how many hosts it heard (3). It gets 'share', 'reserved', 'unreported' and 'hosts'.

--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -93,7 +93,9 @@
     since it started. ``spent`` is what it took in the window, ``known`` what all hosts
     are known to have taken or reserved in it, and ``ended`` what processes took in it
     that are not heard any more. ``allowed`` is what all hosts may take in it, for
-    ``requests``.
+    ``requests``. ``hosts`` are the live ones, ``share`` is what this one may take of
+    ``allowed`` by its share of the requests, ``reserved`` the part of it that the
+    others leave to it, and ``unreported`` what it took since its last report.
     """
 
     taken: int
@@ -103,6 +105,10 @@
     ended: int
     requests: int
     allowed: int
+    hosts: int
+    share: int
+    reserved: int
+    unreported: int
 
 
 class RetryBudget:
@@ -250,9 +256,10 @@
         for endpoint, sent_at in sends:
             if len(counts.unread) < MAX_UNREAD:
                 counts.unread.append(_UnreadSend(endpoint, sent_at, taken_at))
-        _, total = self._usage_of_all(service)
+        hosts, total = self._usage_of_all(service)
         spent = sum(counts.retries.values())
         requests = self._allowed_requests(service)
+        share = self._share(service)
         return ServiceUsage(
             counts.taken,
             counts.sent,
@@ -261,6 +268,10 @@
             self._ended(total),
             requests,
             int(SAFETY_FACTOR * (self.ratio * requests + self.constant)),
+            hosts,
+            int(share),
+            int(self._reserved(share)),
+            counts.unreported,
         )
 
     def usage(self) -> list[RetryUsage]:
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -299,6 +299,10 @@
         ended=usage.ended,
         requests=usage.requests,
         allowed=usage.allowed,
+        hosts=usage.hosts,
+        share=usage.share,
+        reserved=usage.reserved,
+        unreported=usage.unreported,
     )
 
 
