Add failing tests of retries beyond the budget when demand moves

Callers of simulated hosts all use one group and move to the next after a burst of failures, several times within a window.

--- a/tests/router/membership/test_retry_budget.py
+++ b/tests/router/membership/test_retry_budget.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import count
 
@@ -23,6 +24,10 @@
 START_S = 4.0
 FAILURE_S = 16.0
 RESTART_S = 0.3
+# Time that the first group of hosts has all callers, and for which requests fail before
+# the callers move to the next group.
+CALM_S = 11.5
+MOVE_FAILING_S = 0.7
 # Part of the budget that hosts use at least while all requests fail, without restarts.
 LEAST_USED = 0.65
 # Hosts, data centres, and requests per second.
@@ -63,6 +68,8 @@
         self.numbers = count(1)
         # How much more likely a request fails at some hosts, by name; 1 for the others.
         self.failing: dict[str, float] = {}
+        # Names of the hosts that callers use; None means all that run.
+        self.used_by_callers: set[str] | None = None
         for host in self.network.live():
             # They have run for a window when the first requests fail.
             host.budget.assume_first()
@@ -79,6 +86,8 @@
     def _request(self, failing: float) -> None:
         # Callers reach the hosts that run, and do not know of those that stand still.
         hosts = self.network.live()
+        if self.used_by_callers is not None:
+            hosts = [host for host in hosts if host.name in self.used_by_callers]
         due = self.rate * STEP_S
         for _ in range(int(due) + (self.random.random() < due % 1)):
             now = self.network.now
@@ -152,6 +161,29 @@
             self.restart(hosts[first : first + size])
             self.run(span_s / rounds - RESTART_S)
 
+    def move_demand(
+        self,
+        group_count: int,
+        span_s: float,
+        on_move: Callable[[Fleet, list[Host], list[Host]], None],
+        failing_s: float = MOVE_FAILING_S,
+    ) -> None:
+        """Let groups of hosts have all callers in turn; requests fail as turns end.
+
+        ``span_s`` is the time from the first failures to the start of the last ones.
+        ``on_move`` gets the hosts that lose the callers, and those that get them.
+        """
+        hosts = self.network.live()
+        groups = [hosts[first::group_count] for first in range(group_count)]
+        turn_s = span_s / (group_count - 1)
+        for number, group in enumerate(groups):
+            self.used_by_callers = {host.name for host in group}
+            self.run((turn_s if number else CALM_S) - failing_s, failing=0.0)
+            self.run(failing_s)
+            on_move(self, group, groups[(number + 1) % group_count])
+        self.used_by_callers = None
+        self.run(RETRY.window_s, failing=0.0)
+
     def part(self, names: set[str]) -> None:
         """Let these hosts and the others not hear each other."""
         self.network.cut = lambda sender, receiver: (
@@ -347,6 +379,76 @@
         assert fleet.used() <= 1.0
 
 
+Move = Callable[[Fleet, list[Host], list[Host]], None]
+MOVES: dict[str, Move] = {}
+
+
+def move(function: Move) -> Move:
+    """Register what happens to hosts when callers move from one group to another."""
+    MOVES[function.__name__] = function
+    return function
+
+
+@move
+def calm(fleet: Fleet, left: list[Host], joined: list[Host]) -> None:
+    """Change nothing."""
+
+
+@move
+def restarted(fleet: Fleet, left: list[Host], joined: list[Host]) -> None:
+    """Kill the hosts that lose the callers, and start them again."""
+    fleet.kill(left)
+    fleet.used_by_callers = {host.name for host in joined}
+    fleet.run(RESTART_S, failing=0.0)
+    for host in left:
+        fleet.start(host)
+
+
+@move
+def replaced(fleet: Fleet, left: list[Host], joined: list[Host]) -> None:
+    """Replace the hosts that lose the callers by hosts of other names."""
+    fleet.kill(left)
+    for host in left:
+        fleet.start(host, f"{host.name}-new")
+
+
+@move
+def parted(fleet: Fleet, left: list[Host], joined: list[Host]) -> None:
+    """Part the hosts that lose the callers from all others."""
+    fleet.part({host.name for host in left})
+
+
+@move
+def frozen(fleet: Fleet, left: list[Host], joined: list[Host]) -> None:
+    """Freeze the hosts that lose the callers, and wake the others."""
+    for host in fleet.network.live():
+        host.frozen = host in left
+
+
+@move
+def extended(fleet: Fleet, left: list[Host], joined: list[Host]) -> None:
+    """Add a host."""
+    name = f"new-{len(fleet.network.hosts)}"
+    fleet.network.start(name, left[0].data_centre)
+
+
+class TestMovingDemand:
+    @pytest.mark.parametrize("span_s", [6.0, 7.2, 8.4])
+    @pytest.mark.parametrize(("hosts", "group_count"), [(2, 2), (4, 4), (6, 6)])
+    @pytest.mark.parametrize("disruption", list(MOVES))
+    def test_shares_of_several_moments_do_not_add_up(
+        self, disruption: str, hosts: int, group_count: int, span_s: float
+    ) -> None:
+        """Guards against a share for each host that callers move to, after the hosts
+        that they left have spent the budget of the window."""
+        worst = 0.0
+        for seed in (1, 2):
+            fleet = Fleet(hosts, 3, 80.0, seed=seed)
+            fleet.move_demand(group_count, span_s, MOVES[disruption])
+            worst = max(worst, fleet.used())
+        assert worst <= 1.0
+
+
 class TestSeries:
     @pytest.mark.parametrize("seed", range(SEEDS))
     def test_disruptions_that_overlap(self, seed: int) -> None:
