Tell a host which of its reports is in the sums that it hears

A host that takes retries reports them at once, but the sum of all claims in a digest may have an earlier report of its own. It could not subtract its own part from the sum, so it took the larger one of the sum and its own number for what all hosts had claimed: others' claims were hidden by its own, or its own counted twice. A host of an older version sends 0; then the latest report is taken for included, as before.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -44,6 +44,7 @@
     busiest,
     plausible_customers,
     plausible_demands,
+    replace_retries,
     sum_customers,
     sum_demands,
     sum_loads,
@@ -85,6 +86,8 @@
 # it takes to pass on the contacts of a data centre, ``MAX_CONTACTS`` a round. Reports,
 # digests and summaries each take up to a round or two, and one of them may be lost.
 LAG_ROUNDS = 6
+# Reports whose usage is kept until a digest includes it.
+MAX_REPORTED_USAGES = 32
 
 
 @dataclass(slots=True)
@@ -180,6 +183,8 @@
         self._figures_deadline = float("-inf")
         self._reports: dict[str, _Received[Report]] = {}
         self._digests: dict[str, _Received[Digest]] = {}
+        # By the ``clock_ms`` of the report.
+        self._reported_usage: dict[int, list[RetryUsage]] = {}
         self._summaries: dict[tuple[str, str], _Received[Summary]] = {}
         self._round_number = 0
         self._push_pending = False
@@ -322,10 +327,29 @@
         self.retry_history.update(self._local_state.retries, remote)
 
     def retry_usage(self) -> tuple[int, list[RetryUsage]]:
-        """Return the number of known hosts, and the sum of their retry budget usage."""
+        """Return the number of known hosts, and the sum of their retry budget usage.
+
+        ``retries`` includes this host's latest usage.
+        """
         data_centres = self.data_centres()
         usage = [item for data_centre in data_centres for item in data_centre.usage]
-        return sum(data_centre.hosts for data_centre in data_centres), sum_usage(usage)
+        usage = replace_retries(
+            sum_usage(usage),
+            self._included_usage(data_centres),
+            self._local_state.usage,
+        )
+        return sum(data_centre.hosts for data_centre in data_centres), usage
+
+    def _included_usage(self, data_centres: list[DataCentre]) -> list[RetryUsage]:
+        """Return the usage of this host that is in the sums of its data centre."""
+        for received in self._digests.values():
+            digest = received.message
+            for data_centre in digest.data_centres:
+                if data_centre.name != self.own.data_centre or not digest.report_ms:
+                    continue
+                if any(data_centre is used for used in data_centres):
+                    return self._reported_usage.get(digest.report_ms, [])
+        return self._local_state.usage
 
     def loads(self) -> dict[int, Load]:
         """Return the sum of the other hosts' loads by the endpoint's key."""
@@ -435,6 +459,10 @@
 
     def _build_report(self) -> Report:
         state = self._local_state
+        clock_ms = self.shared_clock.now_ms()
+        self._reported_usage[clock_ms] = state.usage
+        if len(self._reported_usage) > MAX_REPORTED_USAGES:
+            del self._reported_usage[next(iter(self._reported_usage))]
         return Report(
             sender=self.own,
             table_versions=self._get_table_versions(),
@@ -446,7 +474,7 @@
             fence=state.fence,
             store_stable=state.store_stable,
             usage=state.usage,
-            clock_ms=self.shared_clock.now_ms(),
+            clock_ms=clock_ms,
             limits=state.limits,
             leaving=state.leaving_endpoints,
             demands=state.demands,
@@ -496,6 +524,7 @@
             history=self.retry_history.records(),
             covered_ms=self.retry_history.covered_ms,
             ended=state.ended,
+            report_ms=report.clock_ms,
         )
 
     def _send_summaries(self, now: float) -> None:
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -341,7 +341,9 @@
 
     It is sent in response to a report, and by hubs at once after a change. A hub leaves
     out the loads that the receiver reported; other hosts may include them. No host
-    includes the receiver's ``demands`` and ``customers``.
+    includes the receiver's ``demands`` and ``customers``. ``report_ms`` is the
+    ``clock_ms`` of the receiver's latest report that is included; a host of an older
+    version sends 0.
     """
 
     data_centres: list[DataCentre]
@@ -356,6 +358,7 @@
     history: list[RetryRecord] = []
     covered_ms: Integer = 0
     ended: list[EndedRequests] = []
+    report_ms: Integer = 0
 
 
 class Summary(Message, frozen=True, array_like=True, kw_only=True, tag="summary"):
--- a/packages/router/src/hemlockhall_router/membership/tally.py
+++ b/packages/router/src/hemlockhall_router/membership/tally.py
@@ -6,6 +6,8 @@
 from heapq import nlargest
 from typing import TYPE_CHECKING
 
+from msgspec import structs
+
 from hemlockhall_router.membership.message import (
     ClassDemand,
     CustomerDemand,
@@ -90,6 +92,22 @@
     return list(sums.values())
 
 
+def replace_retries(
+    total: Iterable[RetryUsage], old: Iterable[RetryUsage], new: Iterable[RetryUsage]
+) -> list[RetryUsage]:
+    """Return a sum of usages in which the retries of one host are replaced."""
+    changes: dict[int, int] = {}
+    for usage in new:
+        changes[usage.service] = usage.retries
+    for usage in old:
+        changes[usage.service] = changes.get(usage.service, 0) - usage.retries
+    result = []
+    for usage in total:
+        retries = max(0, usage.retries + changes.get(usage.service, 0))
+        result.append(structs.replace(usage, retries=retries))
+    return result
+
+
 def busiest(loads: Iterable[Load]) -> list[Load]:
     """Return the ``MAX_LOADS`` loads with the most tokens, highest first."""
     ordered = sorted(loads, key=lambda load: -load.tokens)
@@ -294,6 +312,7 @@
     "age_loads",
     "busiest",
     "limit_classes",
+    "replace_retries",
     "plausible_customers",
     "plausible_demands",
     "sum_customers",
--- a/tests/router/membership/test_exchange.py
+++ b/tests/router/membership/test_exchange.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hemlockhall_router.membership.message import Load
+from hemlockhall_router.membership.message import Load, RetryUsage
 from hemlockhall_router.membership.roster import HUBS_PER_DATA_CENTRE
 from hemlockhall_router.process.intake import MIN_RELATIVE_DEMAND
 from hemlockhall_standins.router.network import Host, Network
@@ -250,3 +250,27 @@
             network.hosts["host-0"].limits.record_request()
         network.run(CONTACT_S)
         assert network.hosts["host-0"].exchange.relative_demand() == 1.0
+
+
+class TestRetryUsage:
+    @pytest.mark.parametrize(("hosts", "data_centres"), SIZES)
+    def test_the_latest_claim_of_a_host_counts_once(
+        self, hosts: int, data_centres: int
+    ) -> None:
+        """Guards against a host that takes its own claims for those of others, or those
+        of others for its own, as digests have earlier ones."""
+        network = started(hosts, data_centres)
+        claims = {host.name: 1 for host in network.live()}
+        for host in network.live():
+            host.budget.usage = lambda name=host.name: [
+                RetryUsage(7, 0, claims[name], 0)
+            ]
+        network.run(2.0)
+        network.cut = lambda sender, receiver: True
+        for host in network.live():
+            claims[host.name] = 5
+            host.exchange.report()
+            claims[host.name] = 9
+            host.exchange.report()
+            _, usage = host.exchange.retry_usage()
+            assert usage == [RetryUsage(7, 0, hosts - 1 + 9, 0)]
