Reserve a part of the retry budget only as far as that much is left

Callers saw more repeats at a service than it allows (BUDGET) when demand moved from one group of hosts to another within a window. Half of a host's share was always its own, whatever the others had taken, and the share follows the requests of the last window. Hosts that restart, or stand still, kept or got such a share as well.

What a host has taken, or reserved if that is more, is now its claim, which others leave to it. A claim rises only by this host's share of what nobody has claimed, less what the others may not know of yet, whether by a retry or by a growing share; it falls when the share falls, or when hosts have claimed too much. So the claims of all hosts, and with them what they took in a window, stay within the budget at any moment. A host that stood still has no reserve until it hears others, as they have not left it one; one that is alone keeps it.

The tests' own fleet gives each host its latest usage in the sum, as the exchange does now. test_a_host_that_stood_still_keeps_no_reserve_that_others_have_taken failed before.

--- a/packages/router/src/hemlockhall_router/membership/history.py
+++ b/packages/router/src/hemlockhall_router/membership/history.py
@@ -67,6 +67,8 @@
     @property
     def covered_ms(self) -> int:
         """For how long back all retries are known, in milliseconds; bounded."""
+        if self._clock() - self._seen_at > PAUSE_S:
+            return 0
         covered_s = min(self._clock() - self._covered_since, 2 * self.window_s)
         return int(covered_s * 1000)
 
--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -4,11 +4,10 @@
 
 import time
 from dataclasses import dataclass, field
-from math import inf
-from typing import TYPE_CHECKING
+from math import ceil, inf
+from typing import TYPE_CHECKING, Any
 
 from hemlockhall_router.membership.history import (
-    BUCKET_S,
     Buckets,
     record_of,
     sum_since,
@@ -28,8 +27,8 @@
 # Number of buckets in the sliding window of requests, and in half of it.
 BUCKETS = 40
 HALF = BUCKETS // 2
-# Fraction of its share that a host may always spend. The rest may be borrowed by hosts
-# that need more.
+# Fraction of its share that a host reserves while that much is left. The rest may be
+# borrowed by hosts that need more.
 RESERVED_FRACTION = 0.5
 # Fraction of its share that a process may spend in its first window while it does not
 # know what was spent before. It accrues with its time, so that processes which follow
@@ -70,8 +69,10 @@
     ``totals`` has the requests of all hosts in the window that ended in each bucket of
     the last half window, as far as they were known, and ``known_requests`` the most
     that allowed retries.
-    ``reported`` is the number of retries in the last report, ``unreported`` that of
-    those taken since. ``unread`` are sends that may arrive later.
+    ``reserved`` are those that the others leave to this host, with those it has taken.
+    ``raises`` has by how much its claim, the larger one of both, rose lately.
+    ``reported`` is the claim in the last report, and ``unreported`` the number of
+    retries taken since. ``unread`` are sends that may arrive later.
     """
 
     requests: Buckets = field(default_factory=dict)
@@ -80,10 +81,20 @@
     retries: Buckets = field(default_factory=dict)
     taken: int = 0
     sent: int = 0
+    reserved: float = 0.0
+    raises: dict[int, float] = field(default_factory=dict)
     reported: int = 0
     unreported: int = 0
     unread: list[_UnreadSend] = field(default_factory=list)
 
+    def spent(self) -> int:
+        """Return the retries of the window."""
+        return sum(self.retries.values())
+
+    def claim(self) -> float:
+        """Return what this host has taken, or reserved if that is more."""
+        return max(float(self.spent()), self.reserved)
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceUsage:
@@ -119,11 +130,13 @@
     of the one half a window before it, whichever has most. A retry lies in all windows
     that begin within the last window, and must be allowed in each of them.
 
-    A host's share of ``constant`` is proportional to its share of the requests.
-    ``RESERVED_FRACTION`` of a host's share is reserved for it; the rest may be borrowed
-    by all hosts, in proportion to their shares. Other hosts may not know yet what was
-    borrowed within the last ``USAGE_LAG_S`` seconds, so all of it together stays within
-    what is known to remain. A host that is the only one knows all.
+    A host's share of ``constant`` is proportional to its share of the requests, which
+    changes within a window. What it took, or reserved if that is more, is its claim,
+    and a claim rises only by what no host has claimed: ``RESERVED_FRACTION`` of the
+    share is reserved as far as that much is left, and the rest may be borrowed by all
+    hosts, in proportion to their shares. Other hosts may not know yet of claims that
+    rose within the last ``USAGE_LAG_S`` seconds, so these together stay within what is
+    known to be left. A host that is the only one knows all.
 
     What ended processes took counts until it is out of the window. So a process that
     has just started has nothing reserved: its host may have spent its share before. It
@@ -146,7 +159,7 @@
         Returns the largest number of hosts that may exist.
     usage_of_all_hosts : callable
         Returns the number of live hosts, with this one, and the sum of their
-        ``usage`` for each service.
+        ``usage`` for each service; ``retries`` includes the latest of this host.
     history : RetryHistory
         What all processes took, also those that ended.
     report : callable
@@ -212,18 +225,16 @@
         """
         counts = self._counts(service)
         share = self._share(service)
-        reserved = self._reserved(share)
-        spent = sum(counts.retries.values())
+        self._update_reserved(service, share)
+        spent = counts.spent()
         if reserve and share - (spent + 1) <= reserve * share:
             return False
-        if spent + 1 > reserved:
-            if not self._history.complete:
-                return False
-            borrowed = self._borrowed(counts, reserved)
-            # What remains was reduced by those that were reported.
-            reported = min(borrowed, max(0.0, counts.reported - reserved))
-            if borrowed + 1 > self._remaining(service, share, reported):
+        missing = max(0.0, spent + 1 - counts.claim())
+        headroom = self._left(service, share) - self._recent_raises(counts)
+        if missing:
+            if missing > headroom or not self._history.complete:
                 return False
+            self._record_raise(counts, missing)
         _add(counts.retries, self._history.bucket(), 1)
         counts.taken += 1
         counts.unreported += 1
@@ -270,7 +281,7 @@
             int(SAFETY_FACTOR * (self.ratio * requests + self.constant)),
             hosts,
             int(share),
-            int(self._reserved(share)),
+            int(counts.reserved),
             counts.unreported,
         )
 
@@ -283,21 +294,19 @@
         for service in self._services:
             counts = self._counts(service)
             self._count_unread(counts)
-            reserved = self._reserved(self._share(service))
-            spent = sum(counts.retries.values())
-            counts.reported, counts.unreported = spent, 0
+            self._update_reserved(service, self._share(service))
+            counts.reported, counts.unreported = round(counts.claim()), 0
             requests = sum(counts.requests.values())
             known, bucket = counts.known_requests, self._bucket()
             counts.totals[bucket] = self._total_requests(service)
             allowed = self._allowed_requests(service)
             known[bucket] = max(known.get(bucket, 0), allowed)
-            retries = max(spent, round(reserved))
             found.append(
                 RetryUsage(
                     service_key(service),
                     requests,
-                    retries,
-                    spent,
+                    counts.reported,
+                    counts.spent(),
                     self._recent(counts),
                 )
             )
@@ -328,23 +337,39 @@
                 waiting.append(send)
         counts.unread = waiting
 
-    def _reserved(self, share: float) -> float:
-        """Return the retries that this host may always spend."""
-        age_s = self._clock() - self._started_at
-        if age_s >= self.window_s:
-            return share * RESERVED_FRACTION
-        if self._history.complete:
+    def _update_reserved(self, service: str, share: float) -> None:
+        """Reserve a part of this host's share, as far as that much is left."""
+        counts = self._counts(service)
+        wanted = self._wanted(share)
+        claim, left = counts.claim(), self._left(service, share)
+        if left < 0.0:
+            # More is claimed than all hosts may take.
+            counts.reserved = max(0.0, min(wanted, claim + left))
+            return
+        rise = min(wanted - claim, left - self._recent_raises(counts))
+        if rise <= 0.0:
+            counts.reserved = min(wanted, claim)
+            return
+        counts.reserved = claim + rise
+        self._record_raise(counts, rise)
+
+    def _wanted(self, share: float) -> float:
+        """Return the retries that this host reserves if they are left."""
+        age_s = min(self._clock() - self._started_at, self.window_s)
+        if not self._history.complete and (age_s < self.window_s or not self._alone()):
+            known_s = min(self._history.covered_ms / 1000, age_s)
+            return share * STARTUP_FRACTION * known_s / self.window_s
+        if age_s < self.window_s:
             return 0.0
-        return share * STARTUP_FRACTION * age_s / self.window_s
+        return share * RESERVED_FRACTION
 
-    def _borrowed(self, counts: _Counts, reserved: float) -> float:
-        """Return the borrowed retries that other hosts may not know of yet."""
-        if self._max_hosts() == 1:
-            return 0.0
-        oldest = self._history.bucket() - int(USAGE_LAG_S / BUCKET_S) - 1
-        spent = sum(counts.retries.values())
-        earlier = spent - sum_since(counts.retries, oldest)
-        return max(0.0, spent - reserved) - max(0.0, earlier - reserved)
+    def _alone(self) -> bool:
+        """Return whether no other host can have taken retries."""
+        return self._max_hosts() == 1
+
+    def _record_raise(self, counts: _Counts, amount: float) -> None:
+        bucket = self._bucket()
+        counts.raises[bucket] = counts.raises.get(bucket, 0.0) + amount
 
     def _share(self, service: str) -> float:
         """Return this host's share of the budget, by its share of the requests."""
@@ -358,26 +383,30 @@
             allowed = self._allowed_requests(service) * requests / total
         return SAFETY_FACTOR * (self.ratio * allowed + self.constant * fraction)
 
-    def _remaining(self, service: str, share: float, reported: float) -> float:
-        """Return this host's share of what all hosts have left.
+    def _left(self, service: str, share: float) -> float:
+        """Return this host's share of what no host has claimed, without recent raises.
 
-        ``reported`` retries, which it borrowed and reported lately, count as left.
+        It is negative if the hosts have claimed more than they may take.
         """
         live_hosts, total = self._usage_of_all(service)
         counts = self._counts(service)
         requests = self._allowed_requests(service)
-        spent = max(sum(counts.retries.values()), self._reserved(share))
-        spent = max(total.retries, spent)
         fraction = live_hosts / max(live_hosts, self._max_hosts())
         budget = SAFETY_FACTOR * (self.ratio * requests + self.constant * fraction)
         if not budget:
             return 0.0
+        raised = self._recent_raises(counts)
+        others = max(0, total.retries - counts.reported)
         missing = max(counts.known_requests.values(), default=0) - requests
         left_out = self.ratio * max(0, missing) + self.constant * (1 - fraction)
         overdraft = self._ended(total) - SAFETY_FACTOR * left_out
-        left = budget - spent - max(0.0, overdraft) + reported
+        left = budget - others - (counts.claim() - raised) - max(0.0, overdraft)
         return left * share / budget
 
+    def _recent_raises(self, counts: _Counts) -> float:
+        """Return by how much this host raised its claim without all others knowing."""
+        return 0.0 if self._alone() else sum(counts.raises.values())
+
     def _total_requests(self, service: str) -> int:
         """Return the requests of all hosts in the last window."""
         _, total = self._usage_of_all(service)
@@ -425,6 +454,8 @@
         _drop_before(counts.totals, bucket - HALF)
         _drop_before(counts.known_requests, bucket - HALF)
         _drop_before(counts.retries, self._history.oldest_bucket())
+        lag = ceil(USAGE_LAG_S * BUCKETS / self.window_s)
+        _drop_before(counts.raises, bucket - lag)
         return counts
 
     def _bucket(self) -> int:
@@ -435,7 +466,7 @@
     buckets[bucket] = buckets.get(bucket, 0) + count
 
 
-def _drop_before(buckets: Buckets, oldest: int) -> None:
+def _drop_before(buckets: dict[int, Any], oldest: int) -> None:
     for bucket in list(buckets):
         if bucket < oldest:
             del buckets[bucket]
--- a/tests/router/test_budget.py
+++ b/tests/router/test_budget.py
@@ -6,6 +6,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 from hypothesis import given, settings
@@ -18,7 +19,7 @@
     RetryUsage,
     service_key,
 )
-from hemlockhall_router.membership.tally import sum_usage
+from hemlockhall_router.membership.tally import replace_retries, sum_usage
 from hemlockhall_router.process.budget import (
     RESERVED_FRACTION,
     SAFETY_FACTOR,
@@ -78,18 +79,34 @@
         self.parts: list[list[RetryBudget]] = []
         self.budgets = []
         self.spent: list[tuple[float, int]] = []
-        for _ in range(hosts):
+        # The latest usage of each host, and what of it is in ``reported_usage``.
+        self.own_usage: list[list[RetryUsage]] = [[] for _ in range(hosts)]
+        self.earlier_usage: deque[list[list[RetryUsage]]] = deque(
+            maxlen=self.reported_usage.maxlen
+        )
+        for host in range(hosts):
             budget = running_budget(
-                RATIO, CONSTANT, hosts, self.usage_of_all_hosts, lambda: self.now
+                RATIO,
+                CONSTANT,
+                hosts,
+                partial(self.usage_of_all_hosts, host),
+                lambda: self.now,
             )
             self.budgets.append(budget)
 
-    def usage_of_all_hosts(self) -> tuple[int, list[RetryUsage]]:
-        return len(self.budgets), self.reported_usage[0] if self.reported_usage else []
+    def usage_of_all_hosts(self, host: int) -> tuple[int, list[RetryUsage]]:
+        if not self.reported_usage:
+            return len(self.budgets), []
+        usage = replace_retries(
+            self.reported_usage[0], self.earlier_usage[0][host], self.own_usage[host]
+        )
+        return len(self.budgets), usage
 
     def step(self) -> None:
-        found = [item for budget in self.budgets for item in budget.usage()]
+        self.own_usage = [budget.usage() for budget in self.budgets]
+        found = [item for usage in self.own_usage for item in usage]
         self.reported_usage.append(sum_usage(found))
+        self.earlier_usage.append(self.own_usage)
         self.now += STEP_S
         for budget in self.budgets:
             budget._history.observe_time()
@@ -199,6 +216,18 @@
         budget._history.merge([], round(WINDOW_S * 1000) + 1)
         assert budget.try_acquire("pool")
 
+    def test_a_host_that_stood_still_keeps_no_reserve_that_others_have_taken(
+        self,
+    ) -> None:
+        """Guards against a reserve that outlives the time for which others left it."""
+        now = 0.0
+        budget = running_budget(0.0, 100.0, 4, clock=lambda: now)
+        assert budget.try_acquire("pool")
+        now += 2 * WINDOW_S
+        assert not budget.try_acquire("pool")
+        budget._history.observe_time()
+        assert not budget.try_acquire("pool")
+
     def test_a_retry_that_is_sent_late_counts_when_it_is_sent(self) -> None:
         """Guards against retries that arrive in a window in which none counts them."""
         now = 0.0
@@ -264,7 +293,11 @@
             fleet.spend(host, 1000)
         for host in range(half):
             fleet.budgets[host] = new_budget(
-                RATIO, CONSTANT, HOSTS, fleet.usage_of_all_hosts, lambda: fleet.now
+                RATIO,
+                CONSTANT,
+                HOSTS,
+                partial(fleet.usage_of_all_hosts, host),
+                lambda: fleet.now,
             )
         for _ in range(8):
             for host in range(HOSTS):
