Report retries sooner the less is left to take

A host reported at once when it had taken a tenth of its share since the last report. Where all callers use one host, its share is the whole budget, so each host that is cut off or ends may have taken a tenth of the budget unknown to the others, whether a lot or little was left. It reports when it has taken a tenth of what it may still take, or, so that reports stay few, 0.02 of its share: 50 reports a window at most, each of which follows as many retries.

--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -36,9 +36,11 @@
 STARTUP_FRACTION = 0.3
 # Time after which all hosts know what a host spent.
 USAGE_LAG_S = 1.5
-# Fraction of its share that a host takes at most without a report: what it has not
-# reported is unknown to all when its process ends.
+# Fraction of what it may still take that a host takes at most without a report, and
+# the fraction of its share for which it sends no report: what it has not reported is
+# unknown to all when its process ends.
 UNREPORTED_FRACTION = 0.1
+MIN_REPORTED_FRACTION = 0.02
 # A retry that is sent, or read, later than this after it was taken counts again then.
 MAX_UNSENT_S = 1.0
 # An endpoint that was heard so long after a request was sent to it has read it: what
@@ -238,7 +240,9 @@
         _add(counts.retries, self._history.bucket(), 1)
         counts.taken += 1
         counts.unreported += 1
-        if counts.unreported > UNREPORTED_FRACTION * share:
+        left = counts.claim() - counts.spent() + max(0.0, headroom - missing)
+        bound = max(UNREPORTED_FRACTION * left, MIN_REPORTED_FRACTION * share)
+        if counts.unreported > bound:
             self._report()
         return True
 
