Bound what a host takes from the retry budget before others have heard of it

Until a cut is noticed, a host goes on by what it heard before, and the others by what they heard of it. A host with all callers could take all that was left in that time, and the hosts that its callers moved to took what they knew to be left.

--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -36,6 +36,9 @@
 STARTUP_FRACTION = 0.3
 # Time after which all hosts know what a host spent.
 USAGE_LAG_S = 1.5
+# Fraction of the budget by which a host raises its claim within that time, as others
+# may be out of its reach.
+MAX_RAISE_FRACTION = 0.35
 # Fraction of what it may still take that a host takes at most without a report, and
 # the fraction of its share for which it sends no report: what it has not reported is
 # unknown to all when its process ends.
@@ -405,7 +408,8 @@
         left_out = self.ratio * max(0, missing) + self.constant * (1 - fraction)
         overdraft = self._ended(total) - SAFETY_FACTOR * left_out
         left = budget - others - (counts.claim() - raised) - max(0.0, overdraft)
-        return left * share / budget
+        left *= share / budget
+        return left if self._alone() else min(left, MAX_RAISE_FRACTION * budget)
 
     def _recent_raises(self, counts: _Counts) -> float:
         """Return by how much this host raised its claim without all others knowing."""
--- a/tests/router/membership/test_retry_budget.py
+++ b/tests/router/membership/test_retry_budget.py
@@ -46,6 +46,10 @@
     attempts: int = 1
 
 
+# What happens to the hosts that lose the callers and to those that get them.
+Move = Callable[["Fleet", list[Host], list[Host]], None]
+
+
 class Fleet:
     """Hosts with callers whose requests all fail from ``START_S`` on."""
 
@@ -165,22 +169,26 @@
         self,
         group_count: int,
         span_s: float,
-        on_move: Callable[[Fleet, list[Host], list[Host]], None],
-        failing_s: float = MOVE_FAILING_S,
+        on_move: Move,
+        on_failure: Move | None = None,
     ) -> None:
         """Let groups of hosts have all callers in turn; requests fail as turns end.
 
         ``span_s`` is the time from the first failures to the start of the last ones.
-        ``on_move`` gets the hosts that lose the callers, and those that get them.
+        ``on_move`` is called with the hosts that lose the callers and those that get
+        them, when they move, and ``on_failure`` when requests begin to fail.
         """
         hosts = self.network.live()
         groups = [hosts[first::group_count] for first in range(group_count)]
         turn_s = span_s / (group_count - 1)
         for number, group in enumerate(groups):
             self.used_by_callers = {host.name for host in group}
-            self.run((turn_s if number else CALM_S) - failing_s, failing=0.0)
-            self.run(failing_s)
-            on_move(self, group, groups[(number + 1) % group_count])
+            next_group = groups[(number + 1) % group_count]
+            self.run((turn_s if number else CALM_S) - MOVE_FAILING_S, failing=0.0)
+            if on_failure is not None:
+                on_failure(self, group, next_group)
+            self.run(MOVE_FAILING_S)
+            on_move(self, group, next_group)
         self.used_by_callers = None
         self.run(RETRY.window_s, failing=0.0)
 
@@ -379,7 +387,6 @@
         assert fleet.used() <= 1.0
 
 
-Move = Callable[[Fleet, list[Host], list[Host]], None]
 MOVES: dict[str, Move] = {}
 
 
@@ -448,6 +455,29 @@
             worst = max(worst, fleet.used())
         assert worst <= 1.0
 
+    @pytest.mark.parametrize("seed", [1, 2])
+    @pytest.mark.parametrize("span_s", [6.0, 8.4])
+    @pytest.mark.parametrize("hosts", [2, 4, 6])
+    def test_hosts_that_are_parted_as_requests_begin_to_fail(
+        self, hosts: int, span_s: float, seed: int
+    ) -> None:
+        """Guards against a host that spends the whole budget unheard, and others that
+        spend it again."""
+        fleet = Fleet(hosts, 3, 80.0, seed=seed)
+        fleet.move_demand(hosts, span_s, calm, on_failure=parted)
+        assert fleet.used() <= 1.0
+
+    @pytest.mark.parametrize(("hosts", "data_centres", "rate"), SMALL_SIZES)
+    def test_a_host_that_gets_all_callers_uses_the_budget(
+        self, hosts: int, data_centres: int, rate: float
+    ) -> None:
+        """Guards against retries that are kept for hosts without callers."""
+        fleet = Fleet(hosts, data_centres, rate)
+        fleet.run(8.0, failing=0.0)
+        fleet.used_by_callers = {fleet.network.live()[0].name}
+        fleet.run(FAILURE_S)
+        assert LEAST_USED <= fleet.used() <= 1.0
+
 
 class TestSeries:
     @pytest.mark.parametrize("seed", range(SEEDS))
