Add a failing test of a customer's rate over restarts

Found by looking for limits over time whose shares move: the daemon's limiter gives each process that starts a full bucket of its share.

--- a/tests/daemon/process/test_limiter.py
+++ b/tests/daemon/process/test_limiter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from hemlockhall_core.request.reason import RefusalReason
@@ -50,3 +52,31 @@
                 continue
             admitted += 1
         assert admitted <= min(customer.concurrency, max(1.0, customer.rate_per_s))
+
+
+class TestRestarts:
+    def test_hosts_that_restart_in_turn_keep_the_rate(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a full bucket for each process that starts, on top of what the
+        one before it has admitted."""
+        now = time.monotonic()
+        monkeypatch.setattr("time.monotonic", lambda: now)
+        hosts, customer = 4, Customer("parish", 1, 100.0, 1000)
+        limiters = [Limiter(lambda: hosts) for _ in range(hosts)]
+        admitted = sum(_admit_all(limiter, customer) for limiter in limiters)
+        for _ in range(hosts):
+            admitted += _admit_all(Limiter(lambda: hosts), customer)
+        # The rate allows bursts of one second's requests.
+        assert admitted <= customer.rate_per_s
+
+
+def _admit_all(limiter: Limiter, customer: Customer) -> int:
+    """Return how many requests a host admits at once."""
+    admitted = 0
+    while True:
+        try:
+            limiter.admit(customer)
+        except Problem:
+            return admitted
+        admitted += 1
