Freeze, part and add hosts in the soak when callers move

So far the hosts that callers leave could only be killed. What happens to them is a registry now, so that the soak plays what the simulation does: 'moves frozen 4', 'moves parted 4', 'moves parted 6' and 'moves growing 4'.

--- a/packages/standins/src/hemlockhall_standins/soak/disruption.py
+++ b/packages/standins/src/hemlockhall_standins/soak/disruption.py
@@ -21,9 +21,14 @@
 
 Disruption = Callable[["Stage", Random], Awaitable[None]]
 DISRUPTIONS: dict[str, Disruption] = {}
+# What happens to the hosts that callers leave, by name.
+LeaveAction = Callable[["Stage", list["Member"]], Awaitable[None]]
+LEAVE_ACTIONS: dict[str, LeaveAction] = {}
 # How long endpoints that ended are away.
 AWAY_S = (0.5, 3.0)
 PAUSE_S = (0.5, 2.5)
+# A host that callers have left is stopped for so long.
+LEFT_PAUSE_S = 3.0
 LINK_FAULT_S = (1.0, 5.0)
 LINK_DELAY_S = (0.05, 0.6)
 STORE_AWAY_S = (1.0, 5.0)
@@ -63,6 +68,16 @@
     return register
 
 
+def leave_action(name: str) -> Callable[[LeaveAction], LeaveAction]:
+    """Register what happens to the hosts that callers leave."""
+
+    def register(function: LeaveAction) -> LeaveAction:
+        LEAVE_ACTIONS[name] = function
+        return function
+
+    return register
+
+
 @disruption("terminate")
 async def terminate_hosts(stage: Stage, rng: Random) -> None:
     """Restart hosts as planned."""
@@ -226,6 +241,40 @@
     await stage.fleet.add(stage.group)
 
 
+@leave_action("kill")
+async def kill_left_hosts(stage: Stage, left: list[Member]) -> None:
+    """Kill the hosts that callers leave."""
+    for member in left:
+        stage.fleet.signal(member, "SIGKILL")
+
+
+@leave_action("freeze")
+async def freeze_left_hosts(stage: Stage, left: list[Member]) -> None:
+    """Stop the hosts that callers leave for a while."""
+    for member in left:
+        stage.fleet.signal(member, "SIGSTOP")
+    await anyio.sleep(LEFT_PAUSE_S)
+    for member in left:
+        stage.fleet.signal(member, "SIGCONT")
+
+
+@leave_action("part")
+async def part_left_hosts(stage: Stage, left: list[Member]) -> None:
+    """Let the hosts that callers leave and the others not hear each other."""
+    others = [member for member in stage.fleet.members if member not in left]
+    for group in (left, others):
+        hears = frozenset(member.process.address for member in group)
+        for member in group:
+            member.proxy.faults = LinkFaults(hears=hears)
+            stage.history.add("link", host=member.name, hears=len(group))
+
+
+@leave_action("add host")
+async def add_host_when_left(stage: Stage, left: list[Member]) -> None:
+    """Add a host when callers leave others."""
+    await stage.fleet.add(stage.group)
+
+
 async def _disturb_links(
     stage: Stage, rng: Random, members: list[Member], faults: LinkFaults
 ) -> None:
@@ -295,6 +344,7 @@
 
 __all__ = [
     "DISRUPTIONS",
+    "LEAVE_ACTIONS",
     "Stage",
     "disruption",
 ]
--- a/packages/standins/src/hemlockhall_standins/soak/player.py
+++ b/packages/standins/src/hemlockhall_standins/soak/player.py
@@ -22,7 +22,7 @@
 from hemlockhall_platform_standins.review import free_port, loopback_host
 from hemlockhall_platform_standins.store import SoakStore
 from hemlockhall_standins.soak.caller import Caller, work_s
-from hemlockhall_standins.soak.disruption import DISRUPTIONS, Stage
+from hemlockhall_standins.soak.disruption import DISRUPTIONS, LEAVE_ACTIONS, Stage
 from hemlockhall_standins.soak.fleet import GRACE_S, Demand, Fleet
 from hemlockhall_standins.soak.pool import Pool
 from hemlockhall_standins.soak.scenario import SCENARIOS
@@ -233,9 +233,9 @@
         await anyio.sleep(ends_at - time.monotonic())
         demand.failing = False
         ends_at += moves.turn_s
-        if moves.kill:
-            for member in group:
-                stage.fleet.signal(member, "SIGKILL")
+        if moves.leave_action is not None:
+            action = LEAVE_ACTIONS[moves.leave_action]
+            stage.group.start_soon(action, stage, group)
 
 
 def _draw_failure(scenario: Scenario, rng: Random) -> str | None:
--- a/packages/standins/src/hemlockhall_standins/soak/scenario.py
+++ b/packages/standins/src/hemlockhall_standins/soak/scenario.py
@@ -33,13 +33,13 @@
 
     The first group has them for ``first_s``, each other one for ``turn_s``, and then
     the first one again. Endpoints break off requests in the last ``failing_s`` of a
-    turn. ``kill`` tells whether the hosts that lose the callers are killed.
+    turn. ``leave_action`` names what then happens to the hosts that lose the callers.
     """
 
     group_count: int
     turn_s: float
     failing_s: float
-    kill: bool = False
+    leave_action: str | None = None
     first_s: float = 11.5
 
 
@@ -95,7 +95,9 @@
     return Scenario(**{**defaults, **fields})
 
 
-def moving(group_count: int, turn_s: float, *, kill: bool, callers: int) -> Scenario:
+def moving(
+    group_count: int, turn_s: float, callers: int, leave_action: str | None = None
+) -> Scenario:
     """Return a scenario in which callers move, each time after a burst of failures."""
     return pressed(
         works=[Work("read", 1.0, 20)],
@@ -103,7 +105,7 @@
         pause_s=(0.0, 0.8),
         failures=(FAIL,),
         broken=1.0,
-        moves=Moves(group_count, turn_s, failing_s=1.1, kill=kill),
+        moves=Moves(group_count, turn_s, 1.1, leave_action),
         retry_constant=198,
     )
 
@@ -155,10 +157,14 @@
         broken=0.9,
         callers_per_host=40,
     ),
-    "moves 2": moving(2, 8.2, kill=False, callers=60),
-    "moves 4": moving(4, 2.6, kill=False, callers=30),
-    "moves killed 4": moving(4, 2.6, kill=True, callers=25),
-    "moves killed 6": moving(6, 1.6, kill=True, callers=20),
+    "moves 2": moving(2, 8.2, callers=60),
+    "moves 4": moving(4, 2.6, callers=30),
+    "moves killed 4": moving(4, 2.6, 25, "kill"),
+    "moves killed 6": moving(6, 1.6, 20, "kill"),
+    "moves frozen 4": moving(4, 2.6, 25, "freeze"),
+    "moves parted 4": moving(4, 2.6, 25, "part"),
+    "moves parted 6": moving(6, 1.6, 20, "part"),
+    "moves growing 4": moving(4, 2.6, 25, "add host"),
     "pressed failing": pressed(
         "kill", "terminate", "kill all", *LINKS, "part", "freeze", failures=(FAIL,)
     ),
