Name the rise of a claim alike in all places

No change of logic: 'missing', which also names requests that fell out of the window, is 'rise' in try_acquire, and the two bounds of reports have a comment each.

--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -36,13 +36,14 @@
 STARTUP_FRACTION = 0.3
 # Time after which all hosts know what a host spent.
 USAGE_LAG_S = 1.5
-# Fraction of the budget by which a host raises its claim within that time, as others
-# may be out of its reach.
+# Fraction of the budget by which a host raises its claim within that time at most:
+# others that are out of reach do not know of it.
 MAX_RAISE_FRACTION = 0.35
-# Fraction of what it may still take that a host takes at most without a report, and
-# the fraction of its share for which it sends no report: what it has not reported is
-# unknown to all when its process ends.
+# Fraction of what it may still take that a host takes at most without a report: what
+# it has not reported is unknown to all when its process ends.
 UNREPORTED_FRACTION = 0.1
+# Fraction of its share that a host takes without a report in any case, so that reports
+# stay few when little is left.
 MIN_REPORTED_FRACTION = 0.02
 # A retry that is sent, or read, later than this after it was taken counts again then.
 MAX_UNSENT_S = 1.0
@@ -234,17 +235,17 @@
         spent = counts.spent()
         if reserve and share - (spent + 1) <= reserve * share:
             return False
-        missing = max(0.0, spent + 1 - counts.claim())
+        rise = max(0.0, spent + 1 - counts.claim())
         headroom = self._left(service, share) - self._recent_raises(counts)
-        if missing:
-            if missing > headroom or not self._history.complete:
+        if rise:
+            if rise > headroom or not self._history.complete:
                 return False
-            self._record_raise(counts, missing)
+            self._record_raise(counts, rise)
         _add(counts.retries, self._history.bucket(), 1)
         counts.taken += 1
         counts.unreported += 1
-        left = counts.claim() - counts.spent() + max(0.0, headroom - missing)
-        bound = max(UNREPORTED_FRACTION * left, MIN_REPORTED_FRACTION * share)
+        may_take = counts.claim() - counts.spent() + max(0.0, headroom - rise)
+        bound = max(UNREPORTED_FRACTION * may_take, MIN_REPORTED_FRACTION * share)
         if counts.unreported > bound:
             self._report()
         return True
