--- a/tests/router/membership/test_quarantine.py
+++ b/tests/router/membership/test_quarantine.py
@@ -323,5 +323,7 @@
         if not isinstance(message, Report):
             # Came later than the crashes.
             expected = msgspec.structs.replace(expected, covered_ms=0)
+        if isinstance(message, Digest):
+            expected = msgspec.structs.replace(expected, report_ms=0)
         assert older == expected
         assert decode(encode(message)) == message
