--- a/tests/router/membership/test_retry_budget.py
+++ b/tests/router/membership/test_retry_budget.py
@@ -28,6 +28,11 @@
 # the callers move to the next group.
 CALM_S = 11.5
 MOVE_FAILING_S = 0.7
+# Time for which hosts stand still in a series of moves, for which requests fail before
+# a move, and from the first move of a lap to the last.
+HELD_S = (1.0, 3.0)
+SERIES_FAILING_S = (0.4, 1.2)
+LAP_S = (4.5, 7.0)
 # Part of the budget that hosts use at least while all requests fail, without restarts.
 LEAST_USED = 0.65
 # Hosts, data centres, and requests per second.
@@ -192,6 +197,36 @@
         self.used_by_callers = None
         self.run(RETRY.window_s, failing=0.0)
 
+    def move_in_series(self, group_count: int, rng: random.Random) -> None:
+        """Let groups of hosts have all callers in turn, twice.
+
+        Each is parted from the others as its requests begin to fail, or stands still
+        for a while after it has lost the callers.
+        """
+        hosts = self.network.live()
+        groups = [hosts[first::group_count] for first in range(group_count)]
+        turn_s = rng.uniform(*LAP_S) / (group_count - 1)
+        failing_s = rng.uniform(*SERIES_FAILING_S)
+        for number in range(2 * group_count):
+            group = groups[number % group_count]
+            next_group = groups[(number + 1) % group_count]
+            self.used_by_callers = {host.name for host in group}
+            self.run((turn_s if number else CALM_S) - failing_s, failing=0.0)
+            held = rng.random() < 0.5
+            if not held:
+                self.part({host.name for host in group})
+            self.run(failing_s)
+            if not held:
+                continue
+            for host in group:
+                host.frozen = True
+            self.used_by_callers = {host.name for host in next_group}
+            self.run(rng.uniform(*HELD_S), failing=rng.choice([0.0, 1.0]))
+            for host in group:
+                host.frozen = False
+        self.used_by_callers = None
+        self.run(RETRY.window_s, failing=0.0)
+
     def part(self, names: set[str]) -> None:
         """Let these hosts and the others not hear each other."""
         self.network.cut = lambda sender, receiver: (
@@ -467,6 +502,20 @@
         fleet.move_demand(hosts, span_s, calm, on_failure=parted)
         assert fleet.used() <= 1.0
 
+    @pytest.mark.parametrize("seed", [3, 5, 11, 14, 20, 33])
+    @pytest.mark.parametrize(
+        ("hosts", "data_centres", "group_count"), [(6, 3, 4), (12, 4, 6), (24, 3, 4)]
+    )
+    def test_groups_that_are_parted_or_stand_still_one_after_the_other(
+        self, hosts: int, data_centres: int, group_count: int, seed: int
+    ) -> None:
+        """Guards against hosts that spend again what a group had reserved, or took
+        unheard, when they lost it."""
+        rng = random.Random(seed)
+        fleet = Fleet(hosts, data_centres, rng.choice([60.0, 100.0, 250.0]), seed=seed)
+        fleet.move_in_series(group_count, rng)
+        assert fleet.used() <= 1.0
+
     @pytest.mark.parametrize(("hosts", "data_centres", "rate"), SMALL_SIZES)
     def test_a_host_that_gets_all_callers_uses_the_budget(
         self, hosts: int, data_centres: int, rate: float
