Leave hosts that are lost the rest of their share of the retry budget

Callers saw nothing; endpoints got up to 1.23 of the retries that all hosts may send. Groups of hosts had all callers in turn and were parted from the others as their requests began to fail, or stood still afterwards.

Cause: what is left to hosts that are not heard goes by their number, while their share goes by the callers that they had. In a traced series (12 hosts, six groups) the first group of two took 0.70 of the budget unheard, all that was left. 1.6 s later the others took it for dead, its claims left the sum, and two shares of twelve were left to it; they took as much again.

When the number of hosts falls, the rest of the lost ones' share now counts for a window, or until as many are back: what leaves the sum of the claims and was not taken, and half of the share of the requests that leave with it. A host raises its claim by half of its own share in 1.5 s at most, which is that half. So a host that is lost can take no more than is left to it, whatever callers it had. The credit by number is set against it: a loss costs nothing more while callers are spread evenly. `retry sent` has it as `lost`.

Two unit tests fail without the change.

--- a/packages/router/src/hemlockhall_router/process/budget.py
+++ b/packages/router/src/hemlockhall_router/process/budget.py
@@ -36,9 +36,9 @@
 STARTUP_FRACTION = 0.3
 # Time after which all hosts know what a host spent.
 USAGE_LAG_S = 1.5
-# Fraction of the budget by which a host raises its claim within that time at most:
-# others that are out of reach do not know of it.
-MAX_RAISE_FRACTION = 0.35
+# Fraction of its share by which a host raises its claim within that time at most: those
+# that are out of reach do not know of it.
+MAX_RAISE_FRACTION = 0.5
 # Fraction of what it may still take that a host takes at most without a report: what
 # it has not reported is unknown to all when its process ends.
 UNREPORTED_FRACTION = 0.1
@@ -67,6 +67,30 @@
     counted_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """Live hosts, and the sum of the others' claims, and of retries and requests."""
+
+    hosts: int
+    claims: int
+    taken: int
+    requests: int
+
+
+@dataclass(frozen=True, slots=True)
+class _LostClaim:
+    """What hosts that are not heard any more may take without the others knowing.
+
+    It is the rest of their share: what they had reserved, and may raise until they
+    notice. It counts until ``deadline``, a monotonic time, or until as many ``hosts``
+    live again as before.
+    """
+
+    hosts: int
+    retries: float
+    deadline: float
+
+
 @dataclass(slots=True)
 class _Counts:
     """Requests and retries of one service, by bucket.
@@ -78,7 +102,8 @@
     ``reserved`` are those that the others leave to this host, with those it has taken.
     ``raises`` has by how much its claim, the larger one of both, rose lately.
     ``reported`` is the claim in the last report, and ``unreported`` the number of
-    retries taken since. ``unread`` are sends that may arrive later.
+    retries taken since. ``unread`` are sends that may arrive later. ``heard`` is what
+    was known last, and ``lost`` what hosts have left that were heard before.
     """
 
     requests: Buckets = field(default_factory=dict)
@@ -92,6 +117,8 @@
     reported: int = 0
     unreported: int = 0
     unread: list[_UnreadSend] = field(default_factory=list)
+    heard: _Heard = _Heard(0, 0, 0, 0)
+    lost: list[_LostClaim] = field(default_factory=list)
 
     def spent(self) -> int:
         """Return the retries of the window."""
@@ -101,6 +128,10 @@
         """Return what this host has taken, or reserved if that is more."""
         return max(float(self.spent()), self.reserved)
 
+    def left_to_lost(self) -> float:
+        """Return the retries that hosts may take which are not heard any more."""
+        return sum(claim.retries for claim in self.lost)
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceUsage:
@@ -112,7 +143,8 @@
     that are not heard any more. ``allowed`` is what all hosts may take in it, for
     ``requests``. ``hosts`` are the live ones, ``share`` is what this one may take of
     ``allowed`` by its share of the requests, ``reserved`` the part of it that the
-    others leave to it, and ``unreported`` what it took since its last report.
+    others leave to it, and ``unreported`` what it took since its last report. ``lost``
+    is what is left to hosts that are not heard any more.
     """
 
     taken: int
@@ -126,6 +158,7 @@
     share: int
     reserved: int
     unreported: int
+    lost: int
 
 
 class RetryBudget:
@@ -150,7 +183,8 @@
     of ``STARTUP_FRACTION``.
 
     Unreachable hosts are left their whole shares, so the total stays within the budget
-    during a partition. What they, or ended processes, took beyond these shares is not
+    during a partition: by their number, and for a window by the requests that they had
+    if that is more. What they, or ended processes, took beyond these shares is not
     spent again by the others.
 
     Parameters
@@ -230,6 +264,7 @@
             nothing, and allows to borrow beyond the share.
         """
         counts = self._counts(service)
+        self._update_lost(service)
         share = self._share(service)
         self._update_reserved(service, share)
         spent = counts.spent()
@@ -291,6 +326,7 @@
             int(share),
             int(counts.reserved),
             counts.unreported,
+            int(counts.left_to_lost()),
         )
 
     def usage(self) -> list[RetryUsage]:
@@ -302,6 +338,7 @@
         for service in self._services:
             counts = self._counts(service)
             self._count_unread(counts)
+            self._update_lost(service)
             self._update_reserved(service, self._share(service))
             counts.reported, counts.unreported = round(counts.claim()), 0
             requests = sum(counts.requests.values())
@@ -345,6 +382,29 @@
                 waiting.append(send)
         counts.unread = waiting
 
+    def _update_lost(self, service: str) -> None:
+        """Leave hosts that are not heard any more the rest of their share."""
+        counts, now = self._counts(service), self._clock()
+        hosts, total = self._usage_of_all(service)
+        claims = max(0, total.retries - counts.reported)
+        before = counts.heard
+        counts.heard = _Heard(hosts, claims, total.taken, total.requests)
+        kept = []
+        for lost in counts.lost:
+            if now < lost.deadline and hosts < lost.hosts:
+                kept.append(lost)
+        counts.lost = kept
+        if hosts >= before.hosts:
+            return
+        # What they took and reported is known from the history.
+        taken = max(0, before.taken - total.taken)
+        reserved = max(0, before.claims - claims - taken)
+        requests = max(0, before.requests - total.requests)
+        part = requests / max(1, before.requests)
+        share = SAFETY_FACTOR * (self.ratio * requests + self.constant * part)
+        retries = reserved + MAX_RAISE_FRACTION * share
+        kept.append(_LostClaim(before.hosts, retries, now + self.window_s))
+
     def _update_reserved(self, service: str, share: float) -> None:
         """Reserve a part of this host's share, as far as that much is left."""
         counts = self._counts(service)
@@ -407,10 +467,11 @@
         others = max(0, total.retries - counts.reported)
         missing = max(counts.known_requests.values(), default=0) - requests
         left_out = self.ratio * max(0, missing) + self.constant * (1 - fraction)
-        overdraft = self._ended(total) - SAFETY_FACTOR * left_out
+        lost = self._ended(total) + counts.left_to_lost()
+        overdraft = lost - SAFETY_FACTOR * left_out
         left = budget - others - (counts.claim() - raised) - max(0.0, overdraft)
         left *= share / budget
-        return left if self._alone() else min(left, MAX_RAISE_FRACTION * budget)
+        return left if self._alone() else min(left, MAX_RAISE_FRACTION * share)
 
     def _recent_raises(self, counts: _Counts) -> float:
         """Return by how much this host raised its claim without all others knowing."""
--- a/packages/router/src/hemlockhall_router/request/relay.py
+++ b/packages/router/src/hemlockhall_router/request/relay.py
@@ -303,6 +303,7 @@
         share=usage.share,
         reserved=usage.reserved,
         unreported=usage.unreported,
+        lost=usage.lost,
     )
 
 
--- a/tests/router/test_budget.py
+++ b/tests/router/test_budget.py
@@ -238,6 +238,44 @@
         assert budget.record_sent("pool", 0.0).spent == 1
 
 
+class TestLostHosts:
+    """Two of four hosts, which have all callers, are not heard any more."""
+
+    def test_their_share_is_left_to_them_for_a_window(self) -> None:
+        """Guards against hosts that spend again what lost ones had reserved, or take
+        unheard: what is left to them by their number is less."""
+        now, hosts = 0.0, 4
+        key = service_key("pool")
+        usages = {4: [RetryUsage(key, 400, 36)], 2: [RetryUsage(key, 0, 0)]}
+        budget = running_budget(
+            0.0, 100.0, 4, lambda: (hosts, usages[hosts]), lambda: now
+        )
+        budget.record_request("pool")
+        budget.usage()
+        hosts = 2
+        assert not budget.try_acquire("pool")
+        now += WINDOW_S + 1.0
+        budget._history.observe_time()
+        budget._history.assume_known()
+        assert budget.try_acquire("pool")
+
+    def test_nothing_is_left_to_them_once_they_are_back(self) -> None:
+        """Guards against callers that are refused after hosts were not heard for a
+        moment."""
+        hosts = 4
+        key = service_key("pool")
+        usages = {4: [RetryUsage(key, 400, 36)], 2: [RetryUsage(key, 0, 0)]}
+        budget = running_budget(0.0, 1000.0, 4, lambda: (hosts, usages[hosts]))
+        budget.record_request("pool")
+        budget.usage()
+        hosts = 2
+        budget.usage()
+        assert budget.record_sent("pool", time.monotonic()).lost > 0
+        hosts = 4
+        assert budget.try_acquire("pool")
+        assert budget.record_sent("pool", time.monotonic()).lost == 0
+
+
 class TestUnevenRetries:
     """Load pattern: lost endpoints interrupt the streams of a few hosts only."""
 
