Play hosts that are killed while endpoints read nothing

Not played before: retries of killed hosts that silent endpoints have not read. No host counts them again when they arrive, so they could add to those of the next window.

--- a/tests/router/test_late_arrival.py
+++ b/tests/router/test_late_arrival.py
@@ -31,6 +31,9 @@
 START_S = 12.0
 # Time for which endpoints fail once they go on.
 FAILURE_S = 12.0
+# Time from the start of a silence to the kill of all hosts, and to their next start.
+KILL_S = 2.0
+RESTART_S = 0.3
 
 
 @pytest.fixture()
@@ -96,3 +99,28 @@
             pool.failing = True
             await anyio.sleep(FAILURE_S)
         assert pool.audit.most_used() <= 1.0
+
+    async def test_what_killed_hosts_have_sent_waits_for_the_next_window(self) -> None:
+        """Guards against retries of ended processes that arrive a window later: no host
+        counts them again, so they must leave room for those that are sent then."""
+        random.seed(1)
+        silence_s = 10.0
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            for number in range(1, HOSTS):
+                await harness.add_router(data_centre=f"place-{number % 3}")
+            pool = LatePool(harness)
+            await pool.start()
+            await anyio.sleep(START_S)
+            fell_silent_at = time.monotonic()
+            for endpoint in pool.endpoints:
+                endpoint.fall_silent(silence_s)
+            await anyio.sleep(KILL_S)
+            for index in range(HOSTS):
+                harness.kill(index)
+            await anyio.sleep(RESTART_S)
+            for index in range(HOSTS):
+                await harness.restart(index)
+            await anyio.sleep(max(0.0, fell_silent_at + silence_s - time.monotonic()))
+            pool.failing = True
+            await anyio.sleep(FAILURE_S)
+        assert pool.audit.most_used() <= 1.0
