Start the buckets of customers' rates empty in an entry host

Callers of a customer got more than its rate when entry hosts restarted: four hosts that restart in turn admitted 192 requests at one moment, a burst of 100 allowed. The cause is the class of the moving demand: what a process took is forgotten with it, and the next one has a whole share.

A bucket refills within a second, so one that is empty when the process starts never adds to what the process before it took.

--- a/packages/daemon/src/hemlockhalld/process/limiter.py
+++ b/packages/daemon/src/hemlockhalld/process/limiter.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hemlockhall_core.request.reason import RefusalReason
@@ -22,14 +22,17 @@
     """Token bucket and open requests of one customer at this host."""
 
     tokens: float
-    updated_at: float = field(default_factory=time.monotonic)
+    updated_at: float
     open_requests: int = 0
 
 
 class Limiter:
     """Enforces this host's equal share of each customer's limits.
 
-    The rate allows bursts of one second's requests, and of at least one request.
+    The rate allows bursts of one second's requests, and of at least one request. The
+    process before this one may have admitted such a burst just before it ended, so
+    buckets are empty when this one starts; shares below one a second begin with one
+    request, which would otherwise take long to accrue.
 
     Parameters
     ----------
@@ -39,6 +42,7 @@
 
     def __init__(self, host_count: Callable[[], int]) -> None:
         self._host_count = host_count
+        self._started_at = time.monotonic()
         self._usages: dict[str, CustomerUsage] = {}
 
     def admit(self, customer: Customer) -> None:
@@ -46,7 +50,11 @@
         host_count = max(1, self._host_count())
         rate_per_s = customer.rate_per_s / host_count
         burst = max(1.0, rate_per_s)
-        usage = self._usages.setdefault(customer.name, CustomerUsage(burst))
+        usage = self._usages.get(customer.name)
+        if usage is None:
+            tokens = 1.0 if rate_per_s < 1.0 else 0.0
+            usage = CustomerUsage(tokens, self._started_at)
+            self._usages[customer.name] = usage
         now = time.monotonic()
         usage.tokens = min(burst, usage.tokens + (now - usage.updated_at) * rate_per_s)
         usage.updated_at = now
