Add failing tests of hosts that join in place of lost ones

A loss is noticed by the number of hosts, which the new one restores; one that becomes the hub of the lost one's data centre replaces its summary, so the number does not even fall.

--- a/tests/router/membership/test_retry_budget.py
+++ b/tests/router/membership/test_retry_budget.py
@@ -502,6 +502,28 @@
         fleet.move_demand(hosts, span_s, calm, on_failure=parted)
         assert fleet.used() <= 1.0
 
+    @pytest.mark.parametrize("added_after_s", [0.6, 2.0])
+    @pytest.mark.parametrize(("hosts", "group_count"), [(2, 2), (4, 2), (4, 4)])
+    def test_hosts_that_are_added_as_others_are_parted(
+        self, hosts: int, group_count: int, added_after_s: float
+    ) -> None:
+        """Guards against lost hosts that nobody misses, as others came in their place:
+        what is left to lost hosts must not depend on how many hosts there are."""
+
+        def replace(fleet: Fleet, left: list[Host], joined: list[Host]) -> None:
+            parted(fleet, left, joined)
+            for host in left:
+                fleet.network.after(
+                    added_after_s, lambda host=host: fleet.start(host, f"{host.name}-2")
+                )
+
+        worst = 0.0
+        for seed in (1, 2):
+            fleet = Fleet(hosts, 3, 80.0, seed=seed)
+            fleet.move_demand(group_count, 6.0, calm, on_failure=replace)
+            worst = max(worst, fleet.used())
+        assert worst <= 1.0
+
     @pytest.mark.parametrize("seed", [3, 5, 11, 14, 20, 33])
     @pytest.mark.parametrize(
         ("hosts", "data_centres", "group_count"), [(6, 3, 4), (12, 4, 6), (24, 3, 4)]
