Name a test of killed hosts by what it expects

Retries of killed hosts that silent endpoints read a window later are within the budget together with those that are sent then; the old name spoke of waiting. Nothing else changed.

--- a/tests/router/test_late_arrival.py
+++ b/tests/router/test_late_arrival.py
@@ -100,7 +100,7 @@
             await anyio.sleep(FAILURE_S)
         assert pool.audit.most_used() <= 1.0
 
-    async def test_what_killed_hosts_have_sent_waits_for_the_next_window(self) -> None:
+    async def test_retries_of_killed_hosts_leave_room_when_they_arrive(self) -> None:
         """Guards against retries of ended processes that arrive a window later: no host
         counts them again, so they must leave room for those that are sent then."""
         random.seed(1)
