Log for each crash what speaks for and against each segment of the prompt

What operators saw: a line names the segments of a request under which an endpoint crashed, but not how many attempts with each passed or crashed, nor why none is blamed.

Hosts now count, from the first crash at a service on, the attempts by segment: those that ran, those of them under which the endpoint crashed later, requests with a crash, and at which crashes a segment was in flight. Each host's counts are kept apart, never fall and come with those of all its attempts, so that they can come twice or late. `crash weighed` writes them for each crash. Nothing is decided by them yet.

--- a/packages/router/src/hemlockhall_router/membership/exchange.py
+++ b/packages/router/src/hemlockhall_router/membership/exchange.py
@@ -31,6 +31,7 @@
     RequestLimit,
     RetryRecord,
     RetryUsage,
+    SegmentRuns,
     SegmentVerdict,
     ServiceDemand,
     Summary,
@@ -112,6 +113,7 @@
     verdicts: list[SegmentVerdict] = field(default_factory=list)
     retries: list[RetryRecord] = field(default_factory=list)
     ended: list[EndedRequests] = field(default_factory=list)
+    runs: list[SegmentRuns] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -484,6 +486,7 @@
             verdicts=state.verdicts,
             retries=state.retries,
             ended=state.ended,
+            runs=state.runs,
         )
 
     def _build_digest(self, report: Report, now: float) -> Digest:
@@ -525,6 +528,7 @@
             covered_ms=self.retry_history.covered_ms,
             ended=state.ended,
             report_ms=report.clock_ms,
+            runs=state.runs,
         )
 
     def _send_summaries(self, now: float) -> None:
@@ -568,6 +572,7 @@
                     history=self.retry_history.records(),
                     covered_ms=self.retry_history.covered_ms,
                     ended=self._local_state.ended,
+                    runs=self._local_state.runs,
                 )
                 self._send(contact.address, message)
 
--- a/packages/router/src/hemlockhall_router/membership/hosts.py
+++ b/packages/router/src/hemlockhall_router/membership/hosts.py
@@ -62,6 +62,7 @@
         Report,
         RequestLimit,
         RetryUsage,
+        SegmentRuns,
         SegmentVerdict,
         ServiceDemand,
         Summary,
@@ -126,8 +127,8 @@
     on_leaving : callable
         Called with endpoints that stated to another host that they leave.
     on_crashes : callable
-        Called with the evidence and the verdicts on prompt segments that another host
-        knows.
+        Called with what another host knows of crashes: evidence, verdicts, requests
+        and counts of attempts.
     metrics : Metrics
         Counts dropped messages.
     supervisor : Supervisor
@@ -148,7 +149,13 @@
         on_limits: Callable[[list[RequestLimit]], None],
         on_leaving: Callable[[list[LeavingNotice]], None],
         on_crashes: Callable[
-            [list[CrashEvidence], list[SegmentVerdict], list[EndedRequests]], None
+            [
+                list[CrashEvidence],
+                list[SegmentVerdict],
+                list[EndedRequests],
+                list[SegmentRuns],
+            ],
+            None,
         ],
         metrics: Metrics,
         supervisor: Supervisor,
@@ -439,8 +446,10 @@
             self._on_limits(message.limits)
         if message.leaving:
             self._on_leaving(message.leaving)
-        if message.crashes or message.verdicts or message.ended:
-            self._on_crashes(message.crashes, message.verdicts, message.ended)
+        if message.crashes or message.verdicts or message.ended or message.runs:
+            self._on_crashes(
+                message.crashes, message.verdicts, message.ended, message.runs
+            )
         self._fetch_newer(message)
 
     def _drop(self, cause: str) -> None:
--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -184,6 +184,32 @@
     waited_ms: list[Integer] = []
 
 
+class SegmentRuns(msgspec.Struct, frozen=True, array_like=True):
+    """Attempts of one host with a prompt segment, in one bucket of the shared clock.
+
+    ``runs`` of the attempts got events for some time, and under ``failed`` of these the
+    endpoint crashed afterwards. Under ``crashed`` requests one crashed for the first
+    time. ``all_runs``, ``all_failed`` and ``all_crashed`` are the same of all attempts
+    at the service. ``broken`` attempts ended with one of the ``crashes``, which are
+    keys; each came so many milliseconds after the begin of the bucket as ``offsets_ms``
+    has at its place. No figure ever falls.
+    """
+
+    segment: int
+    service: Integer
+    host: Integer
+    bucket: Integer
+    runs: Integer
+    failed: Integer
+    crashed: Integer
+    all_runs: Integer
+    all_failed: Integer
+    all_crashed: Integer
+    broken: Integer
+    crashes: list[Integer]
+    offsets_ms: list[Integer]
+
+
 class SegmentVerdict(msgspec.Struct, frozen=True, array_like=True):
     """Whether requests with a prompt segment, or with one content, are refused.
 
@@ -303,9 +329,10 @@
     ``verdicts`` on them, and ``retries``, those taken from the retry budget by the
     sender, or by the hosts of its data centre in a summary. Digests and summaries also
     have ``history``, the retries of all hosts, which is complete for the last
-    ``covered_ms``. The last field is ``ended``, the requests under which endpoints
-    crashed. A host of an older version does not send them all, and one that does
-    not send ``demand_hosts`` counts as 0 hosts.
+    ``covered_ms``. The last fields are ``ended``, the requests under which endpoints
+    crashed, and ``runs``, the attempts for and against prompt segments. A host of an
+    older version does not send them all, and one that does not send ``demand_hosts``
+    counts as 0 hosts.
     """
 
     protocol: Integer = PROTOCOL_VERSION
@@ -334,6 +361,7 @@
     verdicts: list[SegmentVerdict] = []
     retries: list[RetryRecord] = []
     ended: list[EndedRequests] = []
+    runs: list[SegmentRuns] = []
 
 
 class Digest(Message, frozen=True, array_like=True, kw_only=True, tag="digest"):
@@ -359,6 +387,7 @@
     covered_ms: Integer = 0
     ended: list[EndedRequests] = []
     report_ms: Integer = 0
+    runs: list[SegmentRuns] = []
 
 
 class Summary(Message, frozen=True, array_like=True, kw_only=True, tag="summary"):
@@ -377,6 +406,7 @@
     history: list[RetryRecord] = []
     covered_ms: Integer = 0
     ended: list[EndedRequests] = []
+    runs: list[SegmentRuns] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -443,6 +473,7 @@
     "Report",
     "RequestLimit",
     "RetryRecord",
+    "SegmentRuns",
     "SegmentVerdict",
     "ServiceDemand",
     "Summary",
--- a/packages/router/src/hemlockhall_router/policy/crash.py
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -52,9 +52,9 @@
     """
     first = _first_crashes(evidence)
     responded = [item.at_ms for item in first if item.responded]
-    if _count_spaced(responded) >= MIN_REQUESTS:
+    if count_spaced(responded) >= MIN_REQUESTS:
         return True
-    return _count_spaced([item.at_ms for item in first]) >= MIN_WAITING_REQUESTS
+    return count_spaced([item.at_ms for item in first]) >= MIN_WAITING_REQUESTS
 
 
 def needs_companion(companion: int, evidence: Collection[CrashEvidence]) -> bool:
@@ -73,7 +73,7 @@
     explained = {item.crash for item in evidence if companion in item.prompt}
     others = [item for item in evidence if item.crash not in explained]
     times_ms = [item.at_ms for item in _first_crashes(others)]
-    return _count_spaced(times_ms) < MIN_REQUESTS_WITHOUT
+    return count_spaced(times_ms) < MIN_REQUESTS_WITHOUT
 
 
 def is_fatal_request(attempts: Iterable[EndedAttempt]) -> bool:
@@ -107,7 +107,7 @@
     return list(first.values())
 
 
-def _count_spaced(times_ms: list[int]) -> int:
+def count_spaced(times_ms: list[int]) -> int:
     """Return how many of the times are ``CRASH_SPACING_MS`` apart."""
     count, last_ms = 0, float("-inf")
     for time_ms in sorted(times_ms):
@@ -125,6 +125,7 @@
     "MIN_WAITING_REQUESTS",
     "EndedAttempt",
     "count_ends_in_turn",
+    "count_spaced",
     "is_fatal",
     "is_fatal_request",
     "needs_companion",
--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -49,7 +49,8 @@
     ``endpoints`` may have crashed. The request was sent to ``first`` at ``sent_at``,
     which closed the connection if ``closed`` is true, and ``found_at`` is when this
     host found that. ``served`` is true if an endpoint
-    had served the request before. From ``lost_at`` on the endpoint counts as ended for
+    had served the request before, and ``ran`` if it had sent events for some time in
+    this attempt. From ``lost_at`` on the endpoint counts as ended for
     its silence, which is taken back if it goes on. The attempt is dropped at
     ``deadline``.
     """
@@ -59,6 +60,7 @@
     endpoints: Sequence[Endpoint]
     responded: bool
     served: bool
+    ran: bool
     closed: bool
     sent_at: float
     at: float
@@ -111,6 +113,7 @@
         *,
         responded: bool,
         served: bool = False,
+        ran: bool = False,
         closed: bool = True,
         at: float | None = None,
     ) -> None:
@@ -128,6 +131,8 @@
         served : bool
             Whether an endpoint had served the request before, or had sent events for
             some time.
+        ran : bool
+            Whether it had sent events for some time in this attempt.
         closed : bool
             Whether the connection to the first endpoint broke.
         at : float, optional
@@ -153,6 +158,7 @@
             staying,
             responded,
             served,
+            ran,
             closed,
             min(at, request.sent_at.get(endpoints[0].id, at)),
             at,
@@ -385,6 +391,7 @@
             served=attempt.served,
             sent_to=endpoint.incarnation == attempt.first.incarnation,
         )
+        self._quarantine.weigh_crash(request, endpoint, attempt.at, ran=attempt.ran)
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -18,6 +18,7 @@
 from hemlockhall_router.membership.message import (
     CrashEvidence,
     EndedRequests,
+    SegmentRuns,
     SegmentVerdict,
     endpoint_key,
     service_key,
@@ -33,6 +34,7 @@
 )
 from hemlockhall_router.process.dialect import MAX_LOGGED_SEGMENTS
 from hemlockhall_router.process.setting import QuarantineSection
+from hemlockhall_router.process.spectrum import CrashSpectra
 from hemlockhall_router.request.failure import decode_value
 
 if TYPE_CHECKING:
@@ -236,6 +238,7 @@
         self._news: deque[_Evidence] = deque(maxlen=MAX_NEWS)
         self._request_news: deque[_Evidence] = deque(maxlen=MAX_REQUEST_NEWS)
         self._judged: set[int] = set()
+        self._spectra = CrashSpectra(self._now_ms)
         self._verdict_offset = 0
         metrics.add_gauge(
             "quarantined_segments", "all", lambda: len(self.quarantined())
@@ -366,6 +369,56 @@
         )
         return False
 
+    def record_run(self, request: RoutedRequest) -> None:
+        """Record an attempt that got events for some time, or a whole response.
+
+        An endpoint may still crash under it.
+        """
+        service = service_key(request.service.name)
+        self._spectra.record_run(service, segment_keys(request))
+
+    def weigh_crash(
+        self, request: RoutedRequest, endpoint: Endpoint, at: float, *, ran: bool
+    ) -> None:
+        """Record for each segment that an endpoint crashed under an attempt.
+
+        Parameters
+        ----------
+        request : RoutedRequest
+            The request.
+        endpoint : Endpoint
+            The incarnation that crashed.
+        at : float
+            When the attempt broke off, a monotonic time.
+        ran : bool
+            Whether ``record_run`` was called for the attempt.
+        """
+        keys = segment_keys(request)
+        self._spectra.record_crash(
+            service_key(request.service.name),
+            keys,
+            request_key(request),
+            crash_key(endpoint),
+            self._peers.shared_clock.at_ms(at),
+            ran=ran,
+        )
+        logger.info(
+            "crash weighed",
+            request=decode_value(request.id),
+            endpoint=endpoint.id,
+            ran=ran,
+            segments=[self._logged_spectrum(key) for key in keys[:MAX_LOGGED_SEGMENTS]],
+        )
+
+    def _logged_spectrum(self, key: int) -> str:
+        """Return what speaks for and against a segment, as written in log lines."""
+        found = self._spectra.spectrum(key)
+        return (
+            f"{key:016x}: crashed {found.crashed}, passed {found.passed}; others "
+            f"{found.others_crashed}, {found.others_passed}; broken {found.broken} at "
+            f"{found.covered} of {found.crashes}; chance {found.chance:.1e}"
+        )
+
     def record_served(self, request: RoutedRequest) -> None:
         """Record that an endpoint served a request and did not crash under it."""
         now_ms = self._now_ms()
@@ -488,8 +541,10 @@
         evidence: list[CrashEvidence],
         verdicts: list[SegmentVerdict],
         ended: Iterable[EndedRequests] = (),
+        runs: Iterable[SegmentRuns] = (),
     ) -> None:
         """Apply what another host knows."""
+        self._spectra.apply(runs)
         for crash in ended:
             for key, waited_ms in zip_longest(crash.requests, crash.waited_ms):
                 if key is None:
@@ -516,6 +571,7 @@
             self._urgent = False
             self.on_urgent_news()
         now_ms = self._now_ms()
+        self._spectra.update()
         while self._suspects:
             key, suspect = next(iter(self._suspects.items()))
             if now_ms - suspect.last_at_ms <= EVIDENCE_TTL_MS:
@@ -616,6 +672,10 @@
         suspect = self._suspects.get(item.segment)
         return suspect is not None and (item.crash, item.request) in suspect.evidence
 
+    def runs(self) -> list[SegmentRuns]:
+        """Return the counts of attempts with segments to tell other hosts now."""
+        return self._spectra.counts()
+
     def verdicts(self) -> list[SegmentVerdict]:
         """Return the verdicts to tell other hosts now, ``MAX_VERDICTS_SENT`` at most.
 
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -120,8 +120,8 @@
             lambda updates: self.directory.apply_layer_updates(updates),
             lambda statements: self.limits.apply(statements),
             lambda notices: self.directory.apply_leaving(notices),
-            lambda crashes, verdicts, ended: self.quarantine.apply(
-                crashes, verdicts, ended
+            lambda crashes, verdicts, ended, runs: self.quarantine.apply(
+                crashes, verdicts, ended, runs
             ),
             metrics,
             self._supervisor,
@@ -416,6 +416,7 @@
             crashes=self.quarantine.evidence(),
             verdicts=self.quarantine.verdicts(),
             ended=self.quarantine.ended_requests(),
+            runs=self.quarantine.runs(),
         )
 
     def _tell_urgent_news(self) -> None:
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -224,6 +224,8 @@
 
     def _record_served(self) -> None:
         """Record that no endpoint crashed under the request."""
+        if not self.served:
+            self._context.quarantine.record_run(self._request)
         self.served = True
         self._served_at = float("inf")
         self._context.quarantine.record_served(self._request)
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -429,6 +429,7 @@
             self._context.directory.record_service_time(
                 endpoint_id, response_time_s, load
             )
+            self._context.quarantine.record_run(self._request)
             self._context.quarantine.record_served(self._request)
             self._context.quarantine.record_completed(self._request)
         if status >= 500 and self._request.route.retryable:
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -343,6 +343,7 @@
             attempt.path.endpoints,
             responded=False,
             served=True,
+            ran=attempt.served,
             closed=False,
             at=attempt.active_stream.last_event_at,
         )
@@ -507,6 +508,7 @@
             endpoints,
             responded=responded,
             served=self._served,
+            ran=attempt.served,
             closed=reason is RetryReason.BROKEN,
         )
         if self._served:
--- a/packages/standins/src/hemlockhall_standins/router/network.py
+++ b/packages/standins/src/hemlockhall_standins/router/network.py
@@ -132,6 +132,7 @@
             crashes=self.quarantine.evidence(),
             verdicts=self.quarantine.verdicts(),
             ended=self.quarantine.ended_requests(),
+            runs=self.quarantine.runs(),
         )
 
     def _count_false_figures(self) -> None:
@@ -227,7 +228,9 @@
         self.directory.apply_layer_updates(message.layer_updates)
         self.directory.apply_leaving(message.leaving)
         self.limits.apply(message.limits)
-        self.quarantine.apply(message.crashes, message.verdicts, message.ended)
+        self.quarantine.apply(
+            message.crashes, message.verdicts, message.ended, message.runs
+        )
         now = self.network.now
         for table_version in message.table_versions:
             if table_version.last_change <= self.version:
--- /dev/null
+++ b/tests/router/test_spectrum.py
@@ -0,0 +1,131 @@
+"""Counts for and against segments, as hosts tell them each other."""
+
+from __future__ import annotations
+
+import pytest
+
+from hemlockhall_router.membership.message import SegmentRuns
+from hemlockhall_router.policy.spectrum import Spectrum
+from hemlockhall_router.process.spectrum import (
+    BUCKET_MS,
+    MAX_SENT,
+    MAX_SOUND,
+    MAX_SUSPECTS,
+    CrashSpectra,
+)
+
+SERVICE = 7
+BASE, BAD = 2**40, 2**41
+
+
+class Host:
+    """The counts of one host, with a clock of its own."""
+
+    def __init__(self) -> None:
+        self.now_ms = 100 * BUCKET_MS
+        self.spectra = CrashSpectra(lambda: self.now_ms)
+        self.crashes = 0
+
+    def run(self, *segments: int, count: int = 1) -> None:
+        for _ in range(count):
+            self.spectra.record_run(SERVICE, segments)
+
+    def crash(self, *segments: int, ran: bool = False, request: int = 0) -> None:
+        self.crashes += 1
+        self.now_ms += 200
+        request = request or id(self) % 1000 + self.crashes * 1000
+        crash = id(self) % 997 + self.crashes * 1000
+        self.spectra.record_crash(
+            SERVICE, segments, request, crash, self.now_ms, ran=ran
+        )
+
+    def tell(self, other: Host) -> list[SegmentRuns]:
+        counts = self.spectra.counts()
+        other.spectra.apply(counts)
+        return counts
+
+
+class TestCounts:
+    def test_a_run_under_which_an_endpoint_crashes_later_did_not_pass(self) -> None:
+        """Guards against progress of a response that is taken for proof."""
+        host = Host()
+        host.crash(BASE, BAD)
+        host.run(BASE, count=5)
+        for _ in range(3):
+            host.run(BASE, BAD)
+            host.crash(BASE, BAD, ran=True)
+        found = host.spectra.spectrum(BAD)
+        assert found == Spectrum(4, 0, 0, 5, 4, 4, 4)
+
+    def test_of_one_content_the_first_crash_counts(self) -> None:
+        host = Host()
+        for _ in range(3):
+            host.crash(BAD, request=1)
+        found = host.spectra.spectrum(BAD)
+        assert (found.crashed, found.broken, found.covered) == (1, 3, 3)
+
+    def test_nothing_is_counted_before_a_crash(self) -> None:
+        host = Host()
+        host.run(BASE, count=5)
+        host.crash(BASE)
+        assert host.spectra.spectrum(BASE).passed == 0
+
+    def test_a_segment_that_was_sound_for_long_is_seen_to_crash(self) -> None:
+        """Guards against a part that becomes fatal with a change of data."""
+        host = Host()
+        host.crash(BAD)
+        host.run(BAD, count=400)
+        host.now_ms += 3 * BUCKET_MS
+        host.run(BASE, count=50)
+        for _ in range(6):
+            host.crash(BASE, BAD)
+        assert host.spectra.spectrum(BAD).blamed
+
+    def test_counts_are_forgotten(self) -> None:
+        host = Host()
+        host.crash(BAD)
+        host.now_ms += 20 * BUCKET_MS
+        host.spectra.update()
+        assert host.spectra.spectrum(BAD) == Spectrum()
+
+
+class TestHosts:
+    def test_they_add_their_counts(self) -> None:
+        hosts = [Host(), Host()]
+        # Crashes at one moment count once.
+        hosts[1].now_ms += 1000
+        for host in hosts:
+            host.crash(BASE, BAD)
+            host.run(BASE, count=3)
+            host.run(BAD)
+        for _ in range(3):
+            hosts[0].tell(hosts[1])
+        found = hosts[1].spectra.spectrum(BAD)
+        assert (found.crashed, found.passed, found.others_passed) == (2, 2, 6)
+
+    def test_counts_that_come_twice_change_nothing(self) -> None:
+        """Guards against counts that add up again by way of other hosts."""
+        host, other = Host(), Host()
+        host.crash(BASE, BAD)
+        counts = host.tell(other)
+        before = other.spectra.spectrum(BAD)
+        other.spectra.apply(counts)
+        other.tell(host)
+        assert other.spectra.spectrum(BAD) == before
+        assert host.spectra.spectrum(BAD) == before
+
+    @pytest.mark.parametrize("segments", [1, 50])
+    def test_messages_are_bounded(self, segments: int) -> None:
+        host = Host()
+        for _ in range(30):
+            host.crash(*range(BASE, BASE + segments))
+        assert len(host.spectra.counts()) <= MAX_SENT
+
+    def test_state_is_bounded(self) -> None:
+        host = Host()
+        for number in range(MAX_SUSPECTS + 100):
+            host.crash(BASE + number)
+        for number in range(MAX_SOUND + 100):
+            host.run(BAD + number)
+        assert len(host.spectra._suspects) == MAX_SUSPECTS
+        assert len(host.spectra._sound) == MAX_SOUND
