Add failing tests of segments under which endpoints crash late, or not each time

What callers saw: requests with a part that crashes servers are sent on long after the fifth crash, and sound ones are broken off with them.

--- a/packages/standins/src/hemlockhall_standins/router/crashing.py
+++ b/packages/standins/src/hemlockhall_standins/router/crashing.py
@@ -46,8 +46,9 @@
     of each request with a segment or body. ``responds`` is false while endpoints crash
     without the head of a response, and ``crash_after_events`` counts the events that
     they send before. If ``dark`` is true they keep their connections, and fall silent
-    until the next one starts. A stream has
-    ``event_count`` events.
+    until the next one starts. Before the head they wait ``prefill_s``. A stream has
+    ``event_count`` events. Of requests with a fatal segment only a fraction of
+    ``fatal_probability`` crashes an endpoint.
     """
 
     harness: RouterHarness
@@ -58,7 +59,9 @@
     responds: bool = True
     crash_after_events: int = 0
     dark: bool = False
+    prefill_s: float = PREFILL_S
     event_count: int = EVENTS
+    fatal_probability: float = 1.0
     restart_s: tuple[float, float] = (RESTART_S, RESTART_S)
     crashes: list[float] = field(default_factory=list)
     crashes_under: dict[str, list[float]] = field(default_factory=dict)
@@ -87,8 +90,11 @@
         names = [*segments, received.body.decode()]
         for name in dict.fromkeys(names):
             self.arrivals.setdefault(name, []).append(time.monotonic())
-        await anyio.sleep(PREFILL_S)
         fatal = self.fatal.intersection(segments[:-1])
+        if fatal and self.fatal_probability < 1.0:
+            if random.random() >= self.fatal_probability:  # noqa: S311
+                fatal = set()
+        await anyio.sleep(self.prefill_s if fatal else PREFILL_S)
         fatal |= self.fatal_requests.intersection([*segments[-1:], names[-1]])
         if fatal and not self.responds:
             self.crash(received.endpoint, fatal)
