Find segments under which endpoints crash late, or not each time, from all attempts

What callers saw: requests with a part that crashes servers after some events, or under some requests only, were sent on long after the fifth crash, and sound requests were broken off with them.

Cause: a segment counted as served 0.1 s after the first event of any request with it, which dropped all evidence against it at all hosts. Class: progress is taken for proof, and one observation in favour erases any number against.

One attempt is the cause of a crash and those beside it take no part, so requests that are broken off together do not count against each other. A quarantine of this kind does not end with a served request, but when other crashes follow without the segment, or after enough whole responses in trials. The rule for segments that no endpoint ever serves is as it was.

--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -187,25 +187,20 @@
 class SegmentRuns(msgspec.Struct, frozen=True, array_like=True):
     """Attempts of one host with a prompt segment, in one bucket of the shared clock.
 
-    ``runs`` of the attempts got events for some time, and under ``failed`` of these the
-    endpoint crashed afterwards. Under ``crashed`` requests one crashed for the first
-    time. ``all_runs``, ``all_failed`` and ``all_crashed`` are the same of all attempts
-    at the service. ``broken`` attempts ended with one of the ``crashes``, which are
-    keys; each came so many milliseconds after the begin of the bucket as ``offsets_ms``
-    has at its place. No figure ever falls.
+    The host made ``attempts`` with the segment and ``all_attempts`` at the service that
+    got events for some time or ended with a crash. Under ``crashed`` requests with the
+    segment an endpoint crashed for the first time. ``crashes`` has the keys of all
+    crashes under its attempts; each came so many milliseconds after the begin of the
+    bucket as ``offsets_ms`` has at its place. No figure ever falls.
     """
 
     segment: int
     service: Integer
     host: Integer
     bucket: Integer
-    runs: Integer
-    failed: Integer
+    attempts: Integer
+    all_attempts: Integer
     crashed: Integer
-    all_runs: Integer
-    all_failed: Integer
-    all_crashed: Integer
-    broken: Integer
     crashes: list[Integer]
     offsets_ms: list[Integer]
 
@@ -220,6 +215,9 @@
     only if it has all of them, apart from those that an endpoint served since
     ``since_ms``.
 
+    If ``passes`` is not 0, endpoints do not crash under each request, or not before
+    some events: it takes so many whole responses at one host to end the quarantine.
+
     If ``since_ms`` is the same as well, a host served the segment then and knows of no
     quarantine: earlier evidence does not count.
     """
@@ -229,6 +227,7 @@
     decided_at_ms: Integer
     expires_at_ms: Integer
     companions: tuple[int, ...] = ()
+    passes: Integer = 0
 
     @property
     def quarantined(self) -> bool:
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -32,6 +32,7 @@
     is_fatal_request,
     needs_companion,
 )
+from hemlockhall_router.policy.spectrum import MIN_CRASHED, MIN_LEAD
 from hemlockhall_router.process.dialect import MAX_LOGGED_SEGMENTS
 from hemlockhall_router.process.setting import QuarantineSection
 from hemlockhall_router.process.spectrum import CrashSpectra
@@ -63,6 +64,8 @@
 MAX_CLEARED = 256
 # Pieces of evidence below which no verdict is reached.
 MIN_EVIDENCE = min(MIN_REQUESTS, MAX_REQUEST_CRASHES)
+# Lines in the log about one crash.
+MAX_WEIGHED_LINES = 8
 # Segments of one prompt that a crash is evidence against, unproven ones first.
 MAX_PROMPT_SUSPECTS = 32
 # Time for which evidence and verdicts that are new to this host are passed on, and how
@@ -143,11 +146,15 @@
 
 @dataclass(slots=True)
 class _Verdict:
-    """A verdict, when this host learned of it, and the last trial slot it used."""
+    """A verdict, when this host learned of it, and the last trial slot it used.
+
+    ``passed`` counts the whole responses to requests that tried it at this host.
+    """
 
     item: SegmentVerdict
     learned_ms: int
     trial_slot: int = -1
+    passed: int = 0
 
 
 @dataclass(slots=True)
@@ -239,6 +246,7 @@
         self._request_news: deque[_Evidence] = deque(maxlen=MAX_REQUEST_NEWS)
         self._judged: set[int] = set()
         self._spectra = CrashSpectra(self._now_ms)
+        self._weighed: OrderedDict[int, int] = OrderedDict()
         self._verdict_offset = 0
         metrics.add_gauge(
             "quarantined_segments", "all", lambda: len(self.quarantined())
@@ -402,6 +410,12 @@
             self._peers.shared_clock.at_ms(at),
             ran=ran,
         )
+        for key in request.tried_segments:
+            self._begin_again(key)
+        # What explains the crashes shows from the counts of all hosts.
+        self._urgent |= bool(keys)
+        if not self._may_log_weighed(crash_key(endpoint)):
+            return
         logger.info(
             "crash weighed",
             request=decode_value(request.id),
@@ -410,13 +424,44 @@
             segments=[self._logged_spectrum(key) for key in keys[:MAX_LOGGED_SEGMENTS]],
         )
 
+    def _begin_again(self, key: int) -> None:
+        """Begin a quarantine again that had ended, as an endpoint crashed in a trial.
+
+        The evidence of the trial may not show that: the request may have got events.
+        """
+        verdict = self._verdicts.get(key)
+        now_ms = self._now_ms()
+        if verdict is None or not verdict.item.passes:
+            return
+        if not verdict.item.quarantined or now_ms < verdict.item.expires_at_ms:
+            return
+        self._metrics.count("verdicts", "quarantined")
+        logger.warning("prompt segment quarantined again", segment=f"{key:016x}")
+        self._set(
+            msgspec.structs.replace(
+                verdict.item,
+                decided_at_ms=now_ms,
+                expires_at_ms=now_ms + self._hold_ms,
+            )
+        )
+        self._urgent = True
+        self.on_verdict()
+
+    def _may_log_weighed(self, crash: int) -> bool:
+        """Return whether another line about a crash may be written."""
+        lines = self._weighed.get(crash, 0)
+        self._weighed[crash] = lines + 1
+        while len(self._weighed) > MAX_VERDICTS:
+            self._weighed.popitem(last=False)
+        return lines < MAX_WEIGHED_LINES
+
     def _logged_spectrum(self, key: int) -> str:
         """Return what speaks for and against a segment, as written in log lines."""
         found = self._spectra.spectrum(key)
         return (
-            f"{key:016x}: crashed {found.crashed}, passed {found.passed}; others "
-            f"{found.others_crashed}, {found.others_passed}; broken {found.broken} at "
-            f"{found.covered} of {found.crashes}; chance {found.chance:.1e}"
+            f"{key:016x}: at {found.covered} of {found.crashes} crashes, "
+            f"{found.crashed} requests; {found.attempts} attempts with it, "
+            f"{found.other_attempts} without; support {found.support:.1f}"
         )
 
     def record_served(self, request: RoutedRequest) -> None:
@@ -434,7 +479,8 @@
         suspect = self._suspects.pop(key, None)
         verdict = self._verdicts.get(key)
         if verdict is not None and verdict.item.quarantined:
-            self._release(key, now_ms, "served here")
+            if not verdict.item.passes:
+                self._release(key, now_ms, "served here")
         elif suspect is not None:
             self._clear(key, now_ms)
 
@@ -444,6 +490,8 @@
 
     def record_completed(self, request: RoutedRequest) -> None:
         """Record that an endpoint has finished the response to a request."""
+        for segment in request.tried_segments:
+            self._count_passed(segment)
         key = request_key(request)
         verdict = self._verdicts.get(key)
         suspected = key in self._suspects or verdict is not None
@@ -453,6 +501,18 @@
         self._record_served(key, self._now_ms())
         self._forget_served()
 
+    def _count_passed(self, key: int) -> None:
+        """Count a whole response to a request that tried a segment.
+
+        Endpoints may not crash under each such request, so it can take several.
+        """
+        verdict = self._verdicts.get(key)
+        if verdict is None or not verdict.item.quarantined or not verdict.item.passes:
+            return
+        verdict.passed += 1
+        if verdict.passed >= verdict.item.passes:
+            self._release(key, self._now_ms(), "served here often")
+
     def request_crashes(self, request: RoutedRequest) -> set[int]:
         """Return the keys of the crashes under requests with the same content."""
         suspect = self._suspects.get(request_key(request))
@@ -572,6 +632,7 @@
             self.on_urgent_news()
         now_ms = self._now_ms()
         self._spectra.update()
+        self._judge_spectra(now_ms)
         while self._suspects:
             key, suspect = next(iter(self._suspects.items()))
             if now_ms - suspect.last_at_ms <= EVIDENCE_TTL_MS:
@@ -783,9 +844,13 @@
         if not verdict.quarantined or verdict.segment not in keys:
             return False
         for companion in verdict.companions:
-            if companion in keys or self._served_since(companion, verdict.since_ms):
+            if companion in keys:
                 continue
-            return False
+            if self._is_tried(companion) and self._verdicts[companion].item.passes:
+                # Requests with it are served now and then.
+                return False
+            if not self._served_since(companion, verdict.since_ms):
+                return False
         return True
 
     def _add(self, item: CrashEvidence, *, alive_ms: int | None = None) -> None:
@@ -888,6 +953,57 @@
         self._urgent = True
         self.on_verdict()
 
+    def _judge_spectra(self, now_ms: int) -> None:
+        """Quarantine segments that explain crashes, though requests with them pass."""
+        if not self.cfg.enabled:
+            return
+        known = set()
+        for key, verdict in self._verdicts.items():
+            if verdict.item.quarantined and not verdict.item.on_request:
+                known.add(key)
+        self._release_unsupported(known, now_ms)
+        causes = self._spectra.find_causes(known)
+        for key, found in causes.items():
+            times_ms = self._spectra.crashes(key).values()
+            verdict = self._verdicts.get(key)
+            if verdict is not None and max(times_ms) <= verdict.item.decided_at_ms:
+                # It was released, and no endpoint has crashed since.
+                continue
+            companions = tuple(other for other in causes if other != key)
+            passes = found.count_to_release()
+            self._metrics.count("verdicts", "quarantined")
+            logger.warning(
+                "prompt segment quarantined",
+                segment=f"{key:016x}",
+                companions=_logged_keys(companions),
+                weighed=self._logged_spectrum(key),
+                passes=passes,
+                since_ms=now_ms - min(times_ms),
+                seconds=self.cfg.hold_s,
+            )
+            expires_ms = now_ms + self._hold_ms
+            companions = companions[:MAX_PROMPT_SUSPECTS]
+            self._set(
+                SegmentVerdict(
+                    key, min(times_ms), now_ms, expires_ms, companions, passes
+                )
+            )
+            self._urgent = True
+            self.on_verdict()
+
+    def _release_unsupported(self, keys: Iterable[int], now_ms: int) -> None:
+        """Release segments that explain the crashes no better than chance any more."""
+        for key in keys:
+            verdict = self._verdicts[key]
+            if not verdict.item.passes or now_ms >= verdict.item.expires_at_ms:
+                continue
+            found = self._spectra.spectrum(key)
+            if found.crashed < MIN_CRASHED:
+                # The crashes for which it was quarantined are forgotten.
+                continue
+            if found.support < MIN_LEAD:
+                self._release(key, now_ms, "does not explain the crashes")
+
     def _count_others(self, key: int, evidence: Sequence[CrashEvidence]) -> int:
         """Return how many other suspects have evidence of one of the same crashes."""
         crashes = {item.crash for item in evidence}
@@ -948,7 +1064,8 @@
             item = msgspec.structs.replace(item, expires_at_ms=latest_ms)
         if self.is_over(item):
             return
-        if item.quarantined and self._served.get(item.segment, 0) > item.since_ms:
+        served_ms = self._served.get(item.segment, 0)
+        if item.quarantined and not item.passes and served_ms > item.since_ms:
             decided_ms = max(now_ms, item.decided_at_ms + 1)
             self._release(item.segment, decided_ms, "served here since")
             return
--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -10,7 +10,7 @@
 
 from hemlockhall_router.membership.message import SegmentRuns
 from hemlockhall_router.policy.crash import count_spaced
-from hemlockhall_router.policy.spectrum import Spectrum
+from hemlockhall_router.policy.spectrum import Spectrum, find_cause
 
 # Attempts are counted in buckets of this length on the shared clock.
 BUCKET_MS = 10_000
@@ -23,39 +23,41 @@
 # Counts of hosts and buckets that are kept of a segment, and crashes of each.
 MAX_COUNTS = 128
 MAX_COUNT_CRASHES = 16
+MAX_SERVICE_CRASHES = 128
 # Requests, and crashes under them, that are known not to be counted again.
 MAX_SEEN = 8192
 # Counts that are new to this host are passed on for this time, and so many go in one
 # message, with so many crashes.
 NEWS_MS = 3000
-MAX_SENT = 4
-MAX_CRASHES_SENT = 32
+MAX_SENT = 8
+MAX_CRASHES_SENT = 48
 # A segment under which as many endpoints crashed is told as often as the worst.
 TELLING_CRASHES = 8
-# Time after its last crash in which a segment is judged again as counts come in.
+# Segments that are judged: those under which endpoints crashed within this time.
 JUDGED_MS = 5000
+# Time for which a segment must be the best explanation: other hosts tell their counts.
+CAUSE_WAIT_MS = 400
+MAX_JUDGED = 128
 
 
 @dataclass(slots=True)
 class _Count:
     """Attempts that one host sent in one bucket: with one segment, or all.
 
-    ``runs`` of them got events for some time; under ``failed`` of these the endpoint
-    crashed afterwards. Under ``crashed`` requests one crashed for the first time.
-    ``broken`` attempts ended with one of ``crashes``, which has shared times by keys.
+    ``attempts`` are those that got events for some time or ended with a crash. Under
+    ``crashed`` requests one crashed for the first time.
+    ``crashes`` has the shared times of all crashes under them, by their keys.
     ``total`` has all attempts of another host in the bucket. No figure ever shrinks:
     the larger one is the newer.
     """
 
-    runs: int = 0
-    failed: int = 0
+    attempts: int = 0
     crashed: int = 0
-    broken: int = 0
     crashes: dict[int, int] = field(default_factory=dict)
     total: _Count | None = None
     learned_ms: int = 0
     sent: int = 0
-    told_runs: int = 0
+    told_attempts: int = 0
 
 
 @dataclass(slots=True)
@@ -106,6 +108,11 @@
         self._now_ms = now_ms
         self._host = random.getrandbits(32)
         self._totals: dict[int, dict[int, _Count]] = {}
+        # The shared times of all crashes of a service, by their keys.
+        self._crashes: dict[int, OrderedDict[int, int]] = {}
+        self._changed = False
+        # Since when segments explain the crashes.
+        self._causes: dict[int, tuple[int, Spectrum]] = {}
         self._suspects: OrderedDict[int, _Segment] = OrderedDict()
         self._sound: OrderedDict[int, _Segment] = OrderedDict()
         self._seen: OrderedDict[tuple[int, int], None] = OrderedDict()
@@ -116,11 +123,11 @@
         if service not in self._totals:
             return
         bucket = self._now_ms() // BUCKET_MS
-        self._total(service, bucket).runs += 1
+        self._total(service, bucket).attempts += 1
         for key in segments:
             count = self._segment(key, service).count(self._host, bucket)
-            count.runs += 1
-            if count.runs >= 2 * count.told_runs:
+            count.attempts += 1
+            if count.attempts >= 2 * count.told_attempts:
                 self._renew(count)
 
     def record_crash(
@@ -153,29 +160,41 @@
         if (crash, request) in self._seen:
             return
         _remember(self._seen, (crash, request))
+        # The first attempt at a service was not counted when it ran.
+        ran = ran and service in self._totals
         first = request not in self._seen_requests
         _remember(self._seen_requests, request)
         bucket = self._now_ms() // BUCKET_MS
         total = self._total(service, bucket)
-        total.failed += ran
-        total.crashed += first
+        if not ran and crash not in total.crashes:
+            total.attempts += 1
+        total.crashes[crash] = at_ms
+        self._add_crash(service, crash, at_ms)
         for key in segments:
             item = self._suspect(key, service)
             item.last_crash_ms = max(item.last_crash_ms, at_ms)
             count = item.count(self._host, bucket)
-            count.failed += ran
+            if not ran and crash not in count.crashes:
+                # Of those that waited for the first event only one may be the cause.
+                count.attempts += 1
             count.crashed += first
-            if crash in count.crashes or len(count.crashes) < MAX_COUNT_CRASHES:
-                count.broken += 1
+            if len(count.crashes) < MAX_COUNT_CRASHES:
                 count.crashes.setdefault(crash, at_ms)
             self._renew(count)
 
+    def _add_crash(self, service: int, crash: int, at_ms: int) -> None:
+        crashes = self._crashes.setdefault(service, OrderedDict())
+        crashes.setdefault(crash, at_ms)
+        while len(crashes) > MAX_SERVICE_CRASHES:
+            crashes.popitem(last=False)
+        self._changed = True
+
     def _total(self, service: int, bucket: int) -> _Count:
         return self._totals.setdefault(service, {}).setdefault(bucket, _Count())
 
     def _renew(self, count: _Count) -> None:
         """Let a count be told anew."""
-        count.told_runs = count.runs
+        count.told_attempts = count.attempts
         count.learned_ms = self._now_ms()
         count.sent = 0
 
@@ -201,58 +220,99 @@
             self._suspects.popitem(last=False)
         return item
 
-    def spectrum(self, key: int) -> Spectrum:
-        """Return what speaks for and against a segment, in its most telling window."""
+    def spectrum(self, key: int, explained: Collection[int] = ()) -> Spectrum:
+        """Return what speaks for and against a segment, in its most telling window.
+
+        Crashes that are ``explained`` by another segment are left out.
+        """
         item = self._suspects.get(key)
         if item is None:
             return Spectrum()
         now_bucket = self._now_ms() // BUCKET_MS
         windows = [now_bucket - buckets + 1 for buckets in WINDOWS]
-        spectra = [self._spectrum_since(item, bucket) for bucket in windows]
-        return min(spectra, key=lambda found: found.chance)
+        spectra = [self._spectrum_since(item, at, explained) for at in windows]
+        return max(spectra, key=lambda found: found.support)
 
-    def _spectrum_since(self, item: _Segment, bucket: int) -> Spectrum:
-        runs = failed = crashed = broken = 0
-        all_runs = all_failed = all_crashed = 0
+    def _spectrum_since(
+        self, item: _Segment, bucket: int, explained: Collection[int]
+    ) -> Spectrum:
+        attempts = crashed = all_attempts = 0
         for (host, at), count in item.counts.items():
             if at < bucket:
                 continue
+            attempts += count.attempts
+            crashed += count.crashed
             total = count.total
             if host == self._host:
                 total = self._total(item.service, at)
-            runs, failed = runs + count.runs, failed + count.failed
-            crashed, broken = crashed + count.crashed, broken + count.broken
             if total is not None:
-                all_runs += total.runs
-                all_failed += total.failed
-                all_crashed += total.crashed
-        times_ms = item.crashes(bucket)
-        passed = max(0, runs - failed)
+                all_attempts += total.attempts
+        started_ms = bucket * BUCKET_MS
+        all_crashes = {}
+        for crash, at_ms in self._crashes.get(item.service, {}).items():
+            if at_ms >= started_ms and crash not in explained:
+                all_crashes[crash] = at_ms
+        covered = item.crashes(0).keys() & all_crashes.keys()
+        covered_count = count_spaced([all_crashes[crash] for crash in covered])
+        uncovered = [at for crash, at in all_crashes.items() if crash not in covered]
         return Spectrum(
-            min(crashed, count_spaced(list(times_ms.values()))),
-            passed,
-            max(0, all_crashed - crashed),
-            max(0, all_runs - all_failed - passed),
-            broken,
-            len(times_ms),
-            self._count_crashes(item.service, bucket),
+            min(crashed, covered_count),
+            covered_count,
+            attempts,
+            covered_count + count_spaced(uncovered),
+            max(0, all_attempts - attempts),
         )
 
-    def _count_crashes(self, service: int, bucket: int) -> int:
-        found: set[int] = set()
-        for item in self._suspects.values():
-            if item.service == service:
-                found.update(item.crashes(bucket))
-        return len(found)
+    def find_causes(self, known: Collection[int]) -> dict[int, Spectrum]:
+        """Return the segments that explain the crashes, of those under which one was.
 
-    def recent_suspects(self) -> list[int]:
-        """Return the segments under which an endpoint crashed lately."""
+        Several are returned if they were at the same crashes and in as many attempts.
+        Crashes under ``known`` segments are explained by them. What other hosts count
+        comes a little later, so a segment must explain the crashes for a while.
+        """
         now_ms = self._now_ms()
-        found = []
-        for key, item in self._suspects.items():
-            if now_ms - item.last_crash_ms <= JUDGED_MS:
-                found.append(key)
-        return found
+        if self._changed:
+            self._changed = False
+            causes = self._best_explanations(known, now_ms)
+            for key in self._causes.keys() - causes.keys():
+                del self._causes[key]
+            for key, found in causes.items():
+                since_ms, _ = self._causes.get(key, (now_ms, found))
+                self._causes[key] = (since_ms, found)
+        causes = {}
+        for key, (since_ms, found) in list(self._causes.items()):
+            if now_ms - since_ms >= CAUSE_WAIT_MS:
+                causes[key] = found
+                del self._causes[key]
+        return causes
+
+    def _best_explanations(
+        self, known: Collection[int], now_ms: int
+    ) -> dict[int, Spectrum]:
+        explained: set[int] = set()
+        for key in known:
+            explained |= self.crashes(key).keys()
+        spectra: dict[int, dict[tuple[Spectrum, frozenset[int]], list[int]]] = {}
+        for key in list(reversed(self._suspects))[:MAX_JUDGED]:
+            item = self._suspects[key]
+            if key in known or now_ms - item.last_crash_ms > JUDGED_MS:
+                continue
+            found = self.spectrum(key, explained)
+            alike = (found, frozenset(item.crashes(0)))
+            groups = spectra.setdefault(item.service, {})
+            groups.setdefault(alike, []).append(key)
+        causes = {}
+        for groups in spectra.values():
+            best = find_cause([found for found, _ in groups])
+            for (found, _), keys in groups.items():
+                if found is best:
+                    causes.update(dict.fromkeys(keys, found))
+        return causes
+
+    def crashes(self, key: int) -> dict[int, int]:
+        """Return the shared times of the crashes under a segment, by their keys."""
+        item = self._suspects.get(key)
+        return item.crashes(0) if item is not None else {}
 
     def apply(self, counts: Iterable[SegmentRuns]) -> None:
         """Apply what another host has counted, or heard."""
@@ -265,15 +325,17 @@
             self._totals.setdefault(told.service, {})
             item = self._suspect(told.segment, told.service)
             count = item.count(told.host, told.bucket)
-            size = (count.runs, count.failed, count.broken)
-            if (told.runs, told.failed, told.broken) <= size:
+            if (
+                told.attempts <= count.attempts
+                and told.crashed <= count.crashed
+                and count.crashes.keys() >= set(told.crashes)
+            ):
                 continue
+            self._changed = True
             count.learned_ms, count.sent = now_ms, 0
-            count.runs = max(count.runs, told.runs)
-            count.failed = max(count.failed, told.failed)
+            count.attempts = max(count.attempts, told.attempts)
             count.crashed = max(count.crashed, told.crashed)
-            count.broken = max(count.broken, told.broken)
-            count.total = _Count(told.all_runs, told.all_failed, told.all_crashed)
+            count.total = _Count(told.all_attempts)
             started_ms = told.bucket * BUCKET_MS
             for crash, offset_ms in zip(told.crashes, told.offsets_ms, strict=False):
                 if crash in count.crashes or len(count.crashes) >= MAX_COUNT_CRASHES:
@@ -281,6 +343,7 @@
                 # The clock of the other host may differ.
                 at_ms = min(now_ms, started_ms + offset_ms)
                 count.crashes[crash] = at_ms
+                self._add_crash(told.service, crash, at_ms)
                 item.last_crash_ms = max(item.last_crash_ms, at_ms)
 
     def counts(self) -> list[SegmentRuns]:
@@ -322,13 +385,9 @@
             service,
             host,
             bucket,
-            count.runs,
-            count.failed,
+            count.attempts,
+            total.attempts,
             count.crashed,
-            total.runs,
-            total.failed,
-            total.crashed,
-            count.broken,
             list(count.crashes),
             [max(0, at_ms - started_ms) for at_ms in count.crashes.values()],
         )
@@ -342,6 +401,7 @@
                     del totals[bucket]
             if not totals:
                 del self._totals[service]
+                self._crashes.pop(service, None)
         for group in (self._suspects, self._sound):
             for key, item in list(group.items()):
                 for name in list(item.counts):
--- a/tests/router/test_verdict.py
+++ b/tests/router/test_verdict.py
@@ -90,6 +90,17 @@
             responded=responded,
         )
 
+    def crash_late(self, *segments: str) -> None:
+        """Let an endpoint crash under a request that had got events."""
+        request = self.request(*segments)
+        endpoint = replace(ENDPOINT, started_ms=self.numbers)
+        self.quarantine.record_run(request)
+        self.quarantine.weigh_crash(request, endpoint, time.monotonic(), ran=True)
+
+    def run(self, *segments: str) -> None:
+        """Let a request get events."""
+        self.quarantine.record_run(self.request(*segments))
+
     def serve(self, *segments: str) -> None:
         self.quarantine.record_served(self.request(*segments))
 
@@ -720,3 +731,97 @@
             assert len(verdicts) <= MAX_VERDICTS_SENT
             told.update(verdicts)
         assert len(told) == MAX_VERDICTS
+
+
+class TestNotEachTime:
+    """Segments under which endpoints crash after some events, or not each time."""
+
+    @pytest.fixture()
+    def late(self, fleet: Fleet) -> Fleet:
+        """Return a fleet that knows of one that crashes two of three endpoints."""
+        fleet.crash_late("base", "bad")
+        for number in range(12):
+            for _ in range(5):
+                fleet.run("base")
+            if number % 3:
+                fleet.crash_late("base", "bad")
+            else:
+                fleet.run("base", "bad")
+                fleet.serve("base", "bad")
+            fleet.advance()
+        assert fleet.refused("base", "bad")
+        return fleet
+
+    def test_one_is_quarantined(self, late: Fleet) -> None:
+        """Guards against a served request that ends all evidence before it."""
+        assert late.refused("bad")
+        assert not late.refused("base")
+
+    def test_one_that_gets_events_stays_in_quarantine(self, late: Fleet) -> None:
+        """Guards against progress of a request that was sent before the verdict."""
+        late.serve("base", "bad")
+        late.run("base", "bad")
+        assert late.refused("bad")
+
+    def test_a_verdict_of_another_host_is_not_opposed(
+        self, late: Fleet, clock: VirtualClock
+    ) -> None:
+        """Guards against a host that has served some requests and releases it."""
+        other = Fleet(clock)
+        other.serve("bad")
+        other.quarantine.apply([], late.quarantine.verdicts())
+        assert other.refused("bad")
+
+    def test_a_sound_request_with_its_companion_is_sent(self, fleet: Fleet) -> None:
+        """Guards against a sound segment that was in all requests with a fatal one."""
+        for _ in range(8):
+            for _ in range(5):
+                fleet.run("base")
+            fleet.crash_late("base", "bad", "rare")
+            fleet.advance()
+        assert fleet.refused("base", "bad", "rare")
+        fleet.serve("base", "bad")
+        assert not fleet.refused("base", "rare")
+
+    @pytest.fixture()
+    def tried(self, late: Fleet, monkeypatch: pytest.MonkeyPatch) -> Fleet:
+        """Return the fleet after the quarantine; its host owns all slots for trials."""
+        shares = late.quarantine._peers.shares
+        monkeypatch.setattr(shares, "owns", lambda key: True, raising=False)
+        late.advance(late.quarantine.cfg.hold_s)
+        return late
+
+    def test_trials_end_it_after_enough_whole_responses(self, tried: Fleet) -> None:
+        """Guards against a fatal segment that one lucky request releases."""
+        passes = tried.quarantine.known()[0].passes
+        assert passes > 1
+        for _ in range(passes):
+            assert tried.quarantine.known()[0].quarantined
+            request = tried.request("bad")
+            assert tried.quarantine.refusal(request) is None
+            assert tried.refused("bad")
+            tried.quarantine.record_completed(request)
+            tried.advance(TRIAL_INTERVAL_MS / 1000)
+        assert not tried.quarantine.known()[0].quarantined
+        assert not tried.refused("bad")
+
+    def test_a_late_crash_of_a_trial_begins_it_again(self, tried: Fleet) -> None:
+        """Guards against trials without end, each of which crashes an endpoint."""
+        request = tried.request("bad")
+        assert tried.quarantine.refusal(request) is None
+        tried.quarantine.record_run(request)
+        endpoint = replace(ENDPOINT, started_ms=99)
+        tried.quarantine.weigh_crash(request, endpoint, time.monotonic(), ran=True)
+        tried.advance(TRIAL_INTERVAL_MS / 1000)
+        assert tried.refused("bad")
+
+    def test_one_that_explains_the_crashes_no_more_is_released(
+        self, late: Fleet
+    ) -> None:
+        """Guards against a sound segment that stays blamed as others crash endpoints
+        without it."""
+        for _ in range(60):
+            late.crash_late("base", "worse")
+            late.run("base", "good")
+            late.advance(0.2)
+        assert not late.refused("bad")
