Stop reading from a connection between two reads

What callers saw: clients that send one request after the other without reading end a process, and all requests with it: 371 MB with 300 connections on the users' machines, of 300.

Cause: a new transport reads, and the stream stops it only in a read that finds nothing to return. While the other end always has more to send there is no such read, so what arrives is queued without a bound, also while a request is served. The event loop reads up to 256 KB at once, too, which leaves holes in the memory.

Each read now stops the transport, whatever becomes of it, and reads 32 KB at most. The same holds for endpoints.

--- a/packages/router/src/hemlockhall_router/connection/body.py
+++ b/packages/router/src/hemlockhall_router/connection/body.py
@@ -128,6 +128,19 @@
     sock = stream.extra(SocketAttribute.raw_socket)
     with suppress(OSError):
         sock.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    stream._transport.max_size = RECEIVE_BUFFER_BYTES  # type: ignore[attr-defined]
+
+
+async def receive(stream: SocketStream, max_bytes: int) -> bytes:
+    """Receive bytes, and leave the rest in the socket until the next call.
+
+    A new transport reads, and the stream stops it only once it finds nothing to
+    receive: the queue of a peer that always has more to send has no bound.
+    """
+    try:
+        return await stream.receive(max_bytes)
+    finally:
+        stream._transport.pause_reading()  # type: ignore[attr-defined]  # noqa: SLF001
 
 
 async def send_in_parts(stream: SocketStream, data: bytes) -> None:
@@ -150,5 +163,6 @@
     "BodyBuffer",
     "ENDPOINT_BODIES",
     "limit_receive_buffer",
+    "receive",
     "send_in_parts",
 ]
--- a/packages/router/src/hemlockhall_router/connection/caller.py
+++ b/packages/router/src/hemlockhall_router/connection/caller.py
@@ -15,6 +15,7 @@
 from hemlockhall_router.connection.body import (
     CALLER_BODIES,
     BodyBuffer,
+    receive,
     send_in_parts,
 )
 from hemlockhall_router.connection.error import (
@@ -355,7 +356,7 @@
     async def _receive(self, deadline: float) -> bytes:
         try:
             with anyio.fail_after(max(0.0, deadline - time.monotonic())):
-                return await self._stream.receive(READ_BYTES)
+                return await receive(self._stream, READ_BYTES)
         except TimeoutError:
             # A subclass of OSError, which is handled below.
             raise
--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -15,6 +15,7 @@
 from hemlockhall_router.connection.body import (
     ENDPOINT_BODIES,
     limit_receive_buffer,
+    receive,
     send_in_parts,
 )
 from hemlockhall_router.connection.decoding import PORT_LIMIT, decode_number
@@ -363,7 +364,7 @@
         """Read and parse bytes; return their number."""
         try:
             with anyio.fail_after(self._read_timeout_s(deadline)):
-                data = await self._stream.receive(READ_BYTES)
+                data = await receive(self._stream, READ_BYTES)
         except TimeoutError as exc:
             raise ReadTimeoutError("nothing received before the deadline") from exc
         except anyio.EndOfStream as exc:
