Parse requests of a connection one after the other, and count what waits

What callers saw: clients that send thousands of small requests without reading the responses take 1.3 MB a connection, 203 MB beyond calm with 150 of them (100 allowed), beside the memory that all bodies share.

Cause: whatever had arrived was parsed at once, and a parsed request takes many times its bytes. What waited to be parsed, up to 128 KB a connection, was in no account.

Bytes are now parsed 4 KB at a time, up to the end of the first request. What is received and not parsed counts with the bodies of all callers: a connection reads ahead only while they leave room. No body gives way for it.

TestCaller fails before.

--- a/packages/router/src/hemlockhall_router/connection/body.py
+++ b/packages/router/src/hemlockhall_router/connection/body.py
@@ -26,16 +26,18 @@
 
 
 class BodyBudget:
-    """Bounds the memory of several ``BodyBuffer`` together.
+    """Bounds the memory of several ``BodyBuffer`` together, and of bytes before them.
 
     When it is spent, the largest incomplete body gives way: one without an end takes
-    no room from the others. ``used`` is in bytes.
+    no room from the others. ``used`` are the bytes of bodies, ``read_ahead`` those that
+    were received and not parsed yet.
     """
 
     def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
         self._max_bytes = max_bytes
         self._incomplete: set[BodyBuffer] = set()
         self.used = 0
+        self.read_ahead = 0
 
     def open(self, max_bytes: int) -> BodyBuffer:
         """Return an empty buffer of at most ``max_bytes``; its user closes it."""
@@ -49,6 +51,17 @@
         while self.used > self._max_bytes and self._incomplete:
             max(self._incomplete, key=_size).close()
 
+    def has_room(self, count: int) -> bool:
+        """Return whether so many bytes may be read ahead."""
+        return self.used + self.read_ahead + count <= self._max_bytes
+
+    def hold(self, count: int) -> None:
+        """Count bytes that were read ahead; fewer if ``count`` is negative.
+
+        No body gives way for them: they are read only while there is room.
+        """
+        self.read_ahead += count
+
     def give_back(self, count: int) -> None:
         """Give bytes back."""
         self.used -= count
--- a/packages/router/src/hemlockhall_router/connection/caller.py
+++ b/packages/router/src/hemlockhall_router/connection/caller.py
@@ -35,6 +35,8 @@
 # Bytes buffered while a request is served: enough for a few pipelined requests, few
 # enough for thousands of connections.
 MAX_PIPELINED_BYTES = 65_536
+# Parsed at once: all requests in it are, and a parsed one is many times as large.
+PARSE_BYTES = 4096
 # Bytes of chunk sizes, chunk extensions and trailers that may come with no byte of the
 # body; each byte of the body allows for one more of them, up to that.
 MAX_FRAMING_BYTES = 262_144
@@ -170,7 +172,9 @@
         self._stream = stream
         self.limits = limits
         self._collector = _RequestCollector()
-        self._pipelined: list[bytes] = []
+        # Received and not parsed yet.
+        self._pipelined: deque[bytes] = deque()
+        self._pipelined_bytes = 0
         self._head_bytes = 0
         self._parse_error: CallerError | None = None
         # Holds the memory of a large body until its request is answered.
@@ -209,7 +213,8 @@
             if not started:
                 deadline = time.monotonic() + self.limits.header_s
             self._head_bytes += len(data)
-            self._feed(data)
+            self._buffer(data)
+            self._parse()
             request = self._collector.requests[0] if self._collector.requests else None
             done = request is not None and request.head is not None
             if not done and self._head_bytes > self.limits.header_bytes:
@@ -245,7 +250,8 @@
                 data = await self._receive(deadline)
             except TimeoutError:
                 raise CallerError(408, "the body took too long") from None
-            self._feed(data)
+            self._buffer(data)
+            self._parse()
             size = len(request.body)
             framing_bytes_left = min(
                 MAX_FRAMING_BYTES,
@@ -282,8 +288,7 @@
         request = self._collector.requests.popleft()
         if not request.complete:
             self.close_after_response = True
-        while self._pipelined and not self._collector.requests:
-            self._feed(self._pipelined.pop(0))
+        self._parse()
 
     @property
     def disconnected(self) -> bool:
@@ -298,17 +303,17 @@
     async def wait_disconnect(self) -> None:
         """Return when the caller has disconnected; buffer pipelined bytes.
 
-        Once ``MAX_PIPELINED_BYTES`` are buffered, the rest stays in the socket until
-        the current request is answered.
+        Once ``MAX_PIPELINED_BYTES`` are buffered, or all callers together hold as much
+        as they may, the rest stays in the socket until the current request is answered.
         """
-        size = 0
-        while size < MAX_PIPELINED_BYTES:
+        while self._pipelined_bytes < MAX_PIPELINED_BYTES and self.body_budget.has_room(
+            READ_BYTES
+        ):
             try:
                 data = await self._receive(float("inf"))
             except CallerDisconnectedError:
                 return
-            size += len(data)
-            self._pipelined.append(data)
+            self._buffer(data)
         while not self.disconnected:
             await anyio.sleep(CLOSE_POLL_S)
 
@@ -365,7 +370,39 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise CallerDisconnectedError from exc
 
-    def _feed(self, data: bytes) -> None:
+    def _buffer(self, data: bytes) -> None:
+        """Keep received bytes until they are parsed."""
+        self._pipelined.append(data)
+        self._count_buffered(len(data))
+
+    def _count_buffered(self, count: int) -> None:
+        self._pipelined_bytes += count
+        self.body_budget.hold(count)
+
+    def _parse(self) -> None:
+        """Parse buffered bytes up to the end of the first request, or a little more."""
+        requests = self._collector.requests
+        while self._pipelined and not (requests and requests[0].complete):
+            data = memoryview(self._pipelined.popleft())
+            self._count_buffered(-len(data))
+            while data and not (requests and requests[0].complete):
+                self._feed(data[:PARSE_BYTES])
+                data = data[PARSE_BYTES:]
+                if self._parse_error is not None:
+                    self.close()
+                    return
+            if data:
+                # A copy, as the whole of what was received would stay in memory.
+                self._pipelined.appendleft(bytes(data))
+                self._count_buffered(len(data))
+
+    def close(self) -> None:
+        """Drop what is buffered; may be called more than once."""
+        self._drop_body()
+        self._count_buffered(-self._pipelined_bytes)
+        self._pipelined.clear()
+
+    def _feed(self, data: memoryview) -> None:
         self._collector.header_bytes = self.limits.header_bytes
         try:
             self._collector.parser.feed_data(data)
--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -216,6 +216,7 @@
             with self._supervisor.contain("connection"):
                 await self._serve_requests(reader)
         finally:
+            reader.close()
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -312,6 +312,7 @@
         except (CallerError, CallerDisconnectedError):
             return
         finally:
+            reader.close()
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
 
--- a/tests/router/test_connection_memory.py
+++ b/tests/router/test_connection_memory.py
@@ -10,11 +10,18 @@
 import pytest
 from anyio.abc import SocketStream
 
-from hemlockhall_router.connection.body import receive
-from hemlockhall_router.connection.caller import READ_BYTES
+from hemlockhall_router.connection.body import BodyBudget, receive
+from hemlockhall_router.connection.caller import (
+    MAX_PIPELINED_BYTES,
+    PARSE_BYTES,
+    READ_BYTES,
+    CallerLimits,
+    CallerReader,
+)
 
 pytestmark = pytest.mark.anyio
 
+LOOKUP = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 # Turns of the event loop in which a transport that reads receives something.
 TURNS = 50
 
@@ -52,3 +59,40 @@
             before = len(stream._protocol.read_queue)
             await let_run()
             assert len(stream._protocol.read_queue) == before
+
+
+class TestCaller:
+    async def test_few_of_the_requests_that_have_arrived_are_parsed(self) -> None:
+        """Guards against thousands of parsed requests of callers that do not wait for
+        responses: each takes many times its bytes."""
+        async with connection(LOOKUP * 1000) as stream:
+            reader = CallerReader(stream, CallerLimits())
+            for _ in range(3):
+                assert await reader.read_head() is not None
+                with anyio.move_on_after(0.05):
+                    await reader.wait_disconnect()
+                assert len(reader._collector.requests) <= PARSE_BYTES // len(LOOKUP) + 1
+                reader.finish_request()
+
+    async def test_what_waits_counts_for_all_connections(self) -> None:
+        """Guards against bytes of many connections that no bound includes."""
+        async with connection(LOOKUP * 1000) as stream:
+            reader = CallerReader(stream, CallerLimits())
+            reader.body_budget = budget = BodyBudget()
+            await reader.read_head()
+            with anyio.move_on_after(0.05):
+                await reader.wait_disconnect()
+            assert 0 < budget.read_ahead <= MAX_PIPELINED_BYTES + 2 * READ_BYTES
+            reader.close()
+            assert budget.read_ahead == 0
+
+    async def test_nothing_is_read_ahead_once_the_memory_is_spent(self) -> None:
+        """Guards against a crowd that takes the memory of other callers' bodies."""
+        async with connection(LOOKUP * 1000) as stream:
+            reader = CallerReader(stream, CallerLimits())
+            reader.body_budget = budget = BodyBudget(READ_BYTES)
+            await reader.read_head()
+            before = budget.read_ahead
+            with anyio.move_on_after(0.05):
+                await reader.wait_disconnect()
+            assert budget.read_ahead <= max(before, READ_BYTES)
