Take a status outside 100 to 599 for a broken response

What callers saw: a booking or a stream whose endpoint answers with status 000 or 099 gets 504 after its deadline, and 600 or 999 is passed on.

Cause: any status below 200 was taken for an interim response, for which another one follows, and any other for a response.

The head of such a response is now an error of the protocol, as one that is not HTTP at all: 502 at once, no repeat of what may have run, and a repeat of lookups elsewhere.

--- a/packages/router/src/hemlockhall_router/connection/client.py
+++ b/packages/router/src/hemlockhall_router/connection/client.py
@@ -36,6 +36,8 @@
 
 # Most responses of services without streaming fit in one read.
 READ_BYTES = 65_536
+# RFC 9110, section 15: others are no responses.
+STATUSES = range(100, 600)
 # Responses without streaming are buffered whole; the limit keeps a server from
 # exhausting the memory of this host. It counts late responses before them too.
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -108,8 +110,11 @@
 
     def on_headers_complete(self) -> None:
         response = self._current
+        status = self.parser.get_status_code()
+        if status not in STATUSES:
+            raise ProtocolError(f"status {status} is none of HTTP")
         response.head = ResponseHead(
-            self.parser.get_status_code(),
+            status,
             response.reason,
             response.headers,
             self.parser.should_keep_alive(),
--- a/tests/router/test_client.py
+++ b/tests/router/test_client.py
@@ -361,3 +361,15 @@
                     await conn.read_head(deadline())
             with pytest.raises(ReadTimeoutError):
                 await conn.read_head(time.monotonic())
+
+
+class TestStatus:
+    @pytest.mark.parametrize("status", ["000", "099", "600", "999", "101"])
+    async def test_one_that_is_none_raises_a_protocol_error(self, status: str) -> None:
+        """Guards against a status below 200 that is taken for an interim response, for
+        which another one follows, and one above 599 that is passed on."""
+        text = f"HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n".encode()
+        async with server(text) as conn:
+            with pytest.raises(ProtocolError):
+                await conn.read_response(deadline())
+            assert not conn.reusable
