Count attempts at a host from the first news of a crash on

What it means for callers: a host that had seen no crash itself dropped its counts again 0.1 s after it heard of one, so fewer attempts spoke for sound segments. A segment that was forgotten while it waited for other hosts' counts would have been an error of the maintenance step.

The count of the present bucket now begins with the news, and such a segment is passed over. Found by reading; the new test of TestHosts fails before.

--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -414,7 +414,7 @@
             self._begin_again(key)
         # What explains the crashes shows from the counts of all hosts.
         self._urgent |= bool(keys)
-        if not self._may_log_weighed(crash_key(endpoint)):
+        if not keys or not self._may_log_weighed(crash_key(endpoint)):
             return
         logger.info(
             "crash weighed",
@@ -965,6 +965,9 @@
         causes = self._spectra.find_causes(known)
         for key, found in causes.items():
             times_ms = self._spectra.crashes(key).values()
+            if not times_ms:
+                # It was forgotten while it waited for the counts of other hosts.
+                continue
             verdict = self._verdicts.get(key)
             if verdict is not None and max(times_ms) <= verdict.item.decided_at_ms:
                 # It was released, and no endpoint has crashed since.
--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -1,4 +1,4 @@
-"""Attempts that passed, and endpoints that crashed, by segments of prompts."""
+"""Attempts, and crashes of endpoints under them, by segments of prompts."""
 
 from __future__ import annotations
 
@@ -45,10 +45,12 @@
     """Attempts that one host sent in one bucket: with one segment, or all.
 
     ``attempts`` are those that got events for some time or ended with a crash. Under
-    ``crashed`` requests one crashed for the first time.
-    ``crashes`` has the shared times of all crashes under them, by their keys.
-    ``total`` has all attempts of another host in the bucket. No figure ever shrinks:
-    the larger one is the newer.
+    ``crashed`` requests one crashed for the first time. ``crashes`` has the shared
+    times of all crashes under them, by their keys. ``total`` has all attempts of
+    another host in the bucket. No figure ever shrinks: the larger one is the newer.
+
+    It was ``learned_ms`` that the figures are worth telling, last with
+    ``told_attempts``, and they were ``sent`` so often since.
     """
 
     attempts: int = 0
@@ -322,7 +324,7 @@
             if told.host == self._host or told.bucket < oldest:
                 continue
             # From now on attempts at the service are counted here, too.
-            self._totals.setdefault(told.service, {})
+            self._total(told.service, now_ms // BUCKET_MS)
             item = self._suspect(told.segment, told.service)
             count = item.count(told.host, told.bucket)
             if (
--- a/tests/router/test_spectrum.py
+++ b/tests/router/test_spectrum.py
@@ -156,6 +156,16 @@
         found = hosts[1].spectra.spectrum(BAD)
         assert (found.covered, found.attempts, found.other_attempts) == (2, 4, 6)
 
+    def test_one_that_has_seen_no_crash_counts_once_it_hears_of_one(self) -> None:
+        """Guards against hosts whose attempts nobody counts until an endpoint crashes
+        under one of them."""
+        host, other = Host(), Host()
+        host.crash(BASE, BAD)
+        host.tell(other)
+        other.spectra.update()
+        other.run(BASE, BAD, count=3)
+        assert other.spectra.spectrum(BAD).attempts == 4
+
     def test_counts_that_come_twice_change_nothing(self) -> None:
         """Guards against counts that add up again by way of other hosts."""
         host, other = Host(), Host()
