Leave the global random sequence to those who seed it

Traced: the key of a host in counts of attempts was drawn from the global generator, so all that a test with a seed draws came out differently, and its bound is near what this sequence gives.

--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import random
+import secrets
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
@@ -108,7 +108,7 @@
 
     def __init__(self, now_ms: Callable[[], int]) -> None:
         self._now_ms = now_ms
-        self._host = random.getrandbits(32)
+        self._host = secrets.randbits(32)
         self._totals: dict[int, dict[int, _Count]] = {}
         # The shared times of all crashes of a service, by their keys.
         self._crashes: dict[int, OrderedDict[int, int]] = {}
