Compare a segment with the attempts of all hosts

Callers of sound prompts lost their endpoints to a rare segment for longer than needed: its verdict came several crashes late.

Cause: the attempts without a segment were summed over those hosts and ten seconds only in which there was a count of the segment itself, while crashes were summed over all hosts. A segment that few hosts had seen was compared with a fraction of the sound attempts, so its crashes looked like chance.

Each count that hosts tell has all attempts of its host at the service. These are now kept by service, host and bucket, whichever segment they came with, with a sum for each bucket, so that a judgement does not add up those of all hosts.

Evidence: test_one_without_the_segment_counts_among_the_others gave 0 other attempts before, of 31.

--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import nsmallest
@@ -23,6 +23,8 @@
 # Counts of hosts and buckets that are kept of a segment, and crashes of each.
 MAX_COUNTS = 128
 MAX_COUNT_CRASHES = 16
+# Counts of all attempts of hosts that are kept of a service.
+MAX_TOTALS = 8192
 MAX_SERVICE_CRASHES = 128
 # Requests, and crashes under them, that are known not to be counted again.
 MAX_SEEN = 8192
@@ -42,12 +44,12 @@
 
 @dataclass(slots=True)
 class _Count:
-    """Attempts that one host sent in one bucket: with one segment, or all.
+    """Attempts with one segment that one host sent in one bucket.
 
     ``attempts`` are those that got events for some time or ended with a crash. Under
     ``crashed`` requests one crashed for the first time. ``crashes`` has the shared
-    times of all crashes under them, by their keys. ``total`` has all attempts of
-    another host in the bucket. No figure ever shrinks: the larger one is the newer.
+    times of all crashes under them, by their keys. No figure ever shrinks: the larger
+    one is the newer.
 
     It was ``learned_ms`` that the figures are worth telling, last with
     ``told_attempts``, and they were ``sent`` so often since.
@@ -56,7 +58,6 @@
     attempts: int = 0
     crashed: int = 0
     crashes: dict[int, int] = field(default_factory=dict)
-    total: _Count | None = None
     learned_ms: int = 0
     sent: int = 0
     told_attempts: int = 0
@@ -93,6 +94,50 @@
         return found
 
 
+@dataclass(slots=True)
+class _Service:
+    """All attempts at a service from its first crash on, and all crashes.
+
+    ``attempts`` has their number by host and bucket, ``sums`` that of all hosts by
+    bucket, and ``crashes`` the shared times of crashes by their keys.
+    """
+
+    attempts: dict[tuple[int, int], int] = field(default_factory=dict)
+    sums: Counter[int] = field(default_factory=Counter)
+    crashes: OrderedDict[int, int] = field(default_factory=OrderedDict)
+
+    def set_attempts(self, host: int, bucket: int, attempts: int) -> None:
+        """Set the number of attempts of a host; it never shrinks."""
+        known = self.attempts.get((host, bucket), 0)
+        self.attempts[host, bucket] = max(attempts, known)
+        self.sums[bucket] += max(0, attempts - known)
+        if len(self.attempts) > MAX_TOTALS:
+            self.forget(min(self.sums) + 1)
+
+    def add_attempt(self, host: int, bucket: int) -> None:
+        """Count an attempt of a host."""
+        self.set_attempts(host, bucket, self.attempts.get((host, bucket), 0) + 1)
+
+    def add_crash(self, crash: int, at_ms: int) -> None:
+        """Add a crash, unless it is known."""
+        self.crashes.setdefault(crash, at_ms)
+        while len(self.crashes) > MAX_SERVICE_CRASHES:
+            self.crashes.popitem(last=False)
+
+    def attempts_since(self, bucket: int) -> int:
+        """Return the number of attempts of all hosts from a bucket on."""
+        return sum(count for at, count in self.sums.items() if at >= bucket)
+
+    def forget(self, before_bucket: int) -> None:
+        """Forget the attempts before a bucket."""
+        for name in list(self.attempts):
+            if name[1] < before_bucket:
+                del self.attempts[name]
+        for bucket in list(self.sums):
+            if bucket < before_bucket:
+                del self.sums[bucket]
+
+
 class CrashSpectra:
     """Counts for and against each segment, which hosts tell each other.
 
@@ -109,9 +154,10 @@
     def __init__(self, now_ms: Callable[[], int]) -> None:
         self._now_ms = now_ms
         self._host = secrets.randbits(32)
-        self._totals: dict[int, dict[int, _Count]] = {}
-        # The shared times of all crashes of a service, by their keys.
-        self._crashes: dict[int, OrderedDict[int, int]] = {}
+        # Services at which an endpoint has crashed.
+        self._services: dict[int, _Service] = {}
+        # Crashes under attempts of this host.
+        self._own_crashes: OrderedDict[int, None] = OrderedDict()
         self._changed = False
         # Since when segments explain the crashes.
         self._causes: dict[int, tuple[int, Spectrum]] = {}
@@ -122,10 +168,11 @@
 
     def record_run(self, service: int, segments: Iterable[int]) -> None:
         """Record an attempt that got events for some time, or was completed."""
-        if service not in self._totals:
+        known = self._services.get(service)
+        if known is None:
             return
         bucket = self._now_ms() // BUCKET_MS
-        self._total(service, bucket).attempts += 1
+        known.add_attempt(self._host, bucket)
         for key in segments:
             count = self._segment(key, service).count(self._host, bucket)
             count.attempts += 1
@@ -163,15 +210,16 @@
             return
         _remember(self._seen, (crash, request))
         # The first attempt at a service was not counted when it ran.
-        ran = ran and service in self._totals
+        ran = ran and service in self._services
+        known = self._begin(service)
         first = request not in self._seen_requests
         _remember(self._seen_requests, request)
         bucket = self._now_ms() // BUCKET_MS
-        total = self._total(service, bucket)
-        if not ran and crash not in total.crashes:
-            total.attempts += 1
-        total.crashes[crash] = at_ms
-        self._add_crash(service, crash, at_ms)
+        if not ran and crash not in self._own_crashes:
+            known.add_attempt(self._host, bucket)
+        _remember(self._own_crashes, crash)
+        known.add_crash(crash, at_ms)
+        self._changed = True
         for key in segments:
             item = self._suspect(key, service)
             item.last_crash_ms = max(item.last_crash_ms, at_ms)
@@ -184,15 +232,14 @@
                 count.crashes.setdefault(crash, at_ms)
             self._renew(count)
 
-    def _add_crash(self, service: int, crash: int, at_ms: int) -> None:
-        crashes = self._crashes.setdefault(service, OrderedDict())
-        crashes.setdefault(crash, at_ms)
-        while len(crashes) > MAX_SERVICE_CRASHES:
-            crashes.popitem(last=False)
-        self._changed = True
-
-    def _total(self, service: int, bucket: int) -> _Count:
-        return self._totals.setdefault(service, {}).setdefault(bucket, _Count())
+    def _begin(self, service: int) -> _Service:
+        """Return the counts of a service; they begin with its first crash."""
+        known = self._services.get(service)
+        if known is not None:
+            return known
+        known = self._services[service] = _Service()
+        known.set_attempts(self._host, self._now_ms() // BUCKET_MS, 0)
+        return known
 
     def _renew(self, count: _Count) -> None:
         """Let a count be told anew."""
@@ -228,7 +275,7 @@
         Crashes that are ``explained`` by another segment are left out.
         """
         item = self._suspects.get(key)
-        if item is None:
+        if item is None or item.service not in self._services:
             return Spectrum()
         now_bucket = self._now_ms() // BUCKET_MS
         windows = [now_bucket - buckets + 1 for buckets in WINDOWS]
@@ -238,20 +285,14 @@
     def _spectrum_since(
         self, item: _Segment, bucket: int, explained: Collection[int]
     ) -> Spectrum:
-        attempts = crashed = all_attempts = 0
-        for (host, at), count in item.counts.items():
-            if at < bucket:
-                continue
+        attempts = crashed = 0
+        for count in item.since(bucket):
             attempts += count.attempts
             crashed += count.crashed
-            total = count.total
-            if host == self._host:
-                total = self._total(item.service, at)
-            if total is not None:
-                all_attempts += total.attempts
+        service = self._services[item.service]
         started_ms = bucket * BUCKET_MS
         all_crashes = {}
-        for crash, at_ms in self._crashes.get(item.service, {}).items():
+        for crash, at_ms in service.crashes.items():
             if at_ms >= started_ms and crash not in explained:
                 all_crashes[crash] = at_ms
         covered = item.crashes(0).keys() & all_crashes.keys()
@@ -262,7 +303,7 @@
             covered_count,
             attempts,
             covered_count + count_spaced(uncovered),
-            max(0, all_attempts - attempts),
+            max(0, service.attempts_since(bucket) - attempts),
         )
 
     def find_causes(self, known: Collection[int]) -> dict[int, Spectrum]:
@@ -323,8 +364,8 @@
         for told in counts:
             if told.host == self._host or told.bucket < oldest:
                 continue
-            # From now on attempts at the service are counted here, too.
-            self._total(told.service, now_ms // BUCKET_MS)
+            service = self._begin(told.service)
+            service.set_attempts(told.host, told.bucket, told.all_attempts)
             item = self._suspect(told.segment, told.service)
             count = item.count(told.host, told.bucket)
             if (
@@ -337,7 +378,6 @@
             count.learned_ms, count.sent = now_ms, 0
             count.attempts = max(count.attempts, told.attempts)
             count.crashed = max(count.crashed, told.crashed)
-            count.total = _Count(told.all_attempts)
             started_ms = told.bucket * BUCKET_MS
             for crash, offset_ms in zip(told.crashes, told.offsets_ms, strict=False):
                 if crash in count.crashes or len(count.crashes) >= MAX_COUNT_CRASHES:
@@ -345,7 +385,7 @@
                 # The clock of the other host may differ.
                 at_ms = min(now_ms, started_ms + offset_ms)
                 count.crashes[crash] = at_ms
-                self._add_crash(told.service, crash, at_ms)
+                service.add_crash(crash, at_ms)
                 item.last_crash_ms = max(item.last_crash_ms, at_ms)
 
     def counts(self) -> list[SegmentRuns]:
@@ -357,6 +397,8 @@
         oldest = now_ms // BUCKET_MS - max(WINDOWS)
         news = []
         for key, item in self._suspects.items():
+            if item.service not in self._services:
+                continue
             crashed = None
             for (host, bucket), count in item.counts.items():
                 if now_ms - count.learned_ms > NEWS_MS:
@@ -380,7 +422,6 @@
     def _encode(
         self, key: int, service: int, host: int, bucket: int, count: _Count
     ) -> SegmentRuns:
-        total = count.total or self._total(service, bucket)
         started_ms = bucket * BUCKET_MS
         return SegmentRuns(
             key,
@@ -388,7 +429,7 @@
             host,
             bucket,
             count.attempts,
-            total.attempts,
+            self._services[service].attempts.get((host, bucket), count.attempts),
             count.crashed,
             list(count.crashes),
             [max(0, at_ms - started_ms) for at_ms in count.crashes.values()],
@@ -397,13 +438,6 @@
     def update(self) -> None:
         """Forget what is older than all windows; called periodically."""
         oldest = self._now_ms() // BUCKET_MS - max(WINDOWS)
-        for service, totals in list(self._totals.items()):
-            for bucket in list(totals):
-                if bucket < oldest:
-                    del totals[bucket]
-            if not totals:
-                del self._totals[service]
-                self._crashes.pop(service, None)
         for group in (self._suspects, self._sound):
             for key, item in list(group.items()):
                 for name in list(item.counts):
@@ -411,6 +445,10 @@
                         del item.counts[name]
                 if not item.counts:
                     del group[key]
+        for key, service in list(self._services.items()):
+            service.forget(oldest)
+            if not service.attempts:
+                del self._services[key]
 
 
 def _remember(known: OrderedDict, key: object) -> None:
--- a/tests/router/test_spectrum.py
+++ b/tests/router/test_spectrum.py
@@ -166,6 +166,16 @@
         other.run(BASE, BAD, count=3)
         assert other.spectra.spectrum(BAD).attempts == 4
 
+    def test_one_without_the_segment_counts_among_the_others(self) -> None:
+        """Guards against a rare segment that is compared only with the attempts of the
+        few hosts that had it, so that its crashes look like chance."""
+        host, other = Host(), Host()
+        host.crash(BASE, BAD)
+        other.crash(BASE)
+        other.run(BASE, count=30)
+        other.tell(host)
+        assert host.spectra.spectrum(BAD).other_attempts == 31
+
     def test_counts_that_come_twice_change_nothing(self) -> None:
         """Guards against counts that add up again by way of other hosts."""
         host, other = Host(), Host()
