Count attempts shortly before the first crash of a service

Cause: counting began with the first crash, when hardly any sound attempt was known, so the first crashes of a fatal segment looked like chance. Also, requests that had run before the counts began were at crashes but in no count of attempts.

Hosts now keep their attempts of the last three seconds while nothing crashes, and count them with the first crash. Three seconds are short against a series of crashes, so a segment that is first asked for during them is not compared with calm. An attempt that ran before that counts when its endpoint crashes.

test_nothing_is_counted_before_a_crash said that no attempt before the crash counts, which was the fault. In its place one test asks for those shortly before, and one that nothing earlier is counted.

--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -48,11 +48,10 @@
 
     ``endpoints`` may have crashed. The request was sent to ``first`` at ``sent_at``,
     which closed the connection if ``closed`` is true, and ``found_at`` is when this
-    host found that. ``served`` is true if an endpoint
-    had served the request before, and ``ran`` if it had sent events for some time in
-    this attempt. From ``lost_at`` on the endpoint counts as ended for
-    its silence, which is taken back if it goes on. The attempt is dropped at
-    ``deadline``.
+    host found that. ``served`` is true if an endpoint had served the request before,
+    and at ``ran_at``, if at all, it had sent events for some time in this attempt. From
+    ``lost_at`` on the endpoint counts as ended for its silence, which is taken back if
+    it goes on. The attempt is dropped at ``deadline``.
     """
 
     request: RoutedRequest
@@ -60,7 +59,7 @@
     endpoints: Sequence[Endpoint]
     responded: bool
     served: bool
-    ran: bool
+    ran_at: float | None
     closed: bool
     sent_at: float
     at: float
@@ -113,7 +112,7 @@
         *,
         responded: bool,
         served: bool = False,
-        ran: bool = False,
+        ran_at: float | None = None,
         closed: bool = True,
         at: float | None = None,
     ) -> None:
@@ -131,8 +130,8 @@
         served : bool
             Whether an endpoint had served the request before, or had sent events for
             some time.
-        ran : bool
-            Whether it had sent events for some time in this attempt.
+        ran_at : float, optional
+            When it had sent events for some time in this attempt, a monotonic time.
         closed : bool
             Whether the connection to the first endpoint broke.
         at : float, optional
@@ -158,7 +157,7 @@
             staying,
             responded,
             served,
-            ran,
+            ran_at,
             closed,
             min(at, request.sent_at.get(endpoints[0].id, at)),
             at,
@@ -391,7 +390,9 @@
             served=attempt.served,
             sent_to=endpoint.incarnation == attempt.first.incarnation,
         )
-        self._quarantine.weigh_crash(request, endpoint, attempt.at, ran=attempt.ran)
+        self._quarantine.weigh_crash(
+            request, endpoint, attempt.at, ran_at=attempt.ran_at
+        )
 
 
 __all__ = [
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -386,7 +386,12 @@
         self._spectra.record_run(service, segment_keys(request))
 
     def weigh_crash(
-        self, request: RoutedRequest, endpoint: Endpoint, at: float, *, ran: bool
+        self,
+        request: RoutedRequest,
+        endpoint: Endpoint,
+        at: float,
+        *,
+        ran_at: float | None = None,
     ) -> None:
         """Record for each segment that an endpoint crashed under an attempt.
 
@@ -398,17 +403,18 @@
             The incarnation that crashed.
         at : float
             When the attempt broke off, a monotonic time.
-        ran : bool
-            Whether ``record_run`` was called for the attempt.
+        ran_at : float, optional
+            When ``record_run`` was called for the attempt, a monotonic time.
         """
         keys = segment_keys(request)
+        shared_clock = self._peers.shared_clock
         self._spectra.record_crash(
             service_key(request.service.name),
             keys,
             request_key(request),
             crash_key(endpoint),
-            self._peers.shared_clock.at_ms(at),
-            ran=ran,
+            shared_clock.at_ms(at),
+            ran_ms=None if ran_at is None else shared_clock.at_ms(ran_at),
         )
         for key in request.tried_segments:
             self._begin_again(key)
@@ -420,7 +426,7 @@
             "crash weighed",
             request=decode_value(request.id),
             endpoint=endpoint.id,
-            ran=ran,
+            ran=ran_at is not None,
             segments=[self._logged_spectrum(key) for key in keys[:MAX_LOGGED_SEGMENTS]],
         )
 
--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import nsmallest
@@ -17,6 +17,10 @@
 # Windows in which a segment is compared with the others, in buckets with the present
 # one. In the short one a segment that has become fatal shows though it was sound.
 WINDOWS = (2, 12)
+# Attempts that ran in this time before the first crash at a service are counted, too,
+# and so many are kept for it.
+LEAD_IN_MS = 3000
+MAX_RECENT = 4096
 # Segments whose attempts are counted: those under which endpoints crashed, and others.
 MAX_SUSPECTS = 1024
 MAX_SOUND = 4096
@@ -42,6 +46,15 @@
 MAX_JUDGED = 128
 
 
+@dataclass(frozen=True, slots=True)
+class _Run:
+    """An attempt that got events for some time, before any crash at its service."""
+
+    at_ms: int
+    service: int
+    segments: tuple[int, ...]
+
+
 @dataclass(slots=True)
 class _Count:
     """Attempts with one segment that one host sent in one bucket.
@@ -96,12 +109,13 @@
 
 @dataclass(slots=True)
 class _Service:
-    """All attempts at a service from its first crash on, and all crashes.
+    """All attempts at a service from ``counted_from_ms`` on, and all crashes.
 
     ``attempts`` has their number by host and bucket, ``sums`` that of all hosts by
     bucket, and ``crashes`` the shared times of crashes by their keys.
     """
 
+    counted_from_ms: int
     attempts: dict[tuple[int, int], int] = field(default_factory=dict)
     sums: Counter[int] = field(default_factory=Counter)
     crashes: OrderedDict[int, int] = field(default_factory=OrderedDict)
@@ -141,9 +155,10 @@
 class CrashSpectra:
     """Counts for and against each segment, which hosts tell each other.
 
-    Nothing is counted before the first crash at a service. Counts of all hosts are kept
-    apart, so that one that comes twice, or late, changes nothing, and each comes with
-    those of all attempts of its host, so that they can be compared.
+    Nothing is counted until shortly before the first crash at a service: a segment that
+    is first asked for during the crashes would be compared with others that were asked
+    for in calm. Counts of all hosts are kept apart, so that one that comes twice, or
+    late, changes nothing, and each comes with the number of all attempts of its host.
 
     Parameters
     ----------
@@ -156,6 +171,8 @@
         self._host = secrets.randbits(32)
         # Services at which an endpoint has crashed.
         self._services: dict[int, _Service] = {}
+        # The latest attempts at services without a crash.
+        self._recent: deque[_Run] = deque(maxlen=MAX_RECENT)
         # Crashes under attempts of this host.
         self._own_crashes: OrderedDict[int, None] = OrderedDict()
         self._changed = False
@@ -168,11 +185,14 @@
 
     def record_run(self, service: int, segments: Iterable[int]) -> None:
         """Record an attempt that got events for some time, or was completed."""
-        known = self._services.get(service)
-        if known is None:
+        if service in self._services:
+            self._count_run(service, segments)
             return
+        self._recent.append(_Run(self._now_ms(), service, tuple(segments)))
+
+    def _count_run(self, service: int, segments: Iterable[int]) -> None:
         bucket = self._now_ms() // BUCKET_MS
-        known.add_attempt(self._host, bucket)
+        self._services[service].add_attempt(self._host, bucket)
         for key in segments:
             count = self._segment(key, service).count(self._host, bucket)
             count.attempts += 1
@@ -187,7 +207,7 @@
         crash: int,
         at_ms: int,
         *,
-        ran: bool,
+        ran_ms: int | None = None,
     ) -> None:
         """Record an endpoint that crashed under an attempt.
 
@@ -203,19 +223,18 @@
             first one is compared with those of others.
         at_ms : int
             The shared time of the crash.
-        ran : bool
-            Whether ``record_run`` was called for the attempt.
+        ran_ms : int, optional
+            When ``record_run`` was called for the attempt, a shared time.
         """
         if (crash, request) in self._seen:
             return
         _remember(self._seen, (crash, request))
-        # The first attempt at a service was not counted when it ran.
-        ran = ran and service in self._services
         known = self._begin(service)
+        counted = ran_ms is not None and ran_ms >= known.counted_from_ms
         first = request not in self._seen_requests
         _remember(self._seen_requests, request)
         bucket = self._now_ms() // BUCKET_MS
-        if not ran and crash not in self._own_crashes:
+        if not counted and crash not in self._own_crashes:
             known.add_attempt(self._host, bucket)
         _remember(self._own_crashes, crash)
         known.add_crash(crash, at_ms)
@@ -224,7 +243,7 @@
             item = self._suspect(key, service)
             item.last_crash_ms = max(item.last_crash_ms, at_ms)
             count = item.count(self._host, bucket)
-            if not ran and crash not in count.crashes:
+            if not counted and crash not in count.crashes:
                 # Of those that waited for the first event only one may be the cause.
                 count.attempts += 1
             count.crashed += first
@@ -237,8 +256,12 @@
         known = self._services.get(service)
         if known is not None:
             return known
-        known = self._services[service] = _Service()
-        known.set_attempts(self._host, self._now_ms() // BUCKET_MS, 0)
+        now_ms = self._now_ms()
+        known = self._services[service] = _Service(now_ms - LEAD_IN_MS)
+        known.set_attempts(self._host, now_ms // BUCKET_MS, 0)
+        for run in self._recent:
+            if run.service == service and run.at_ms >= known.counted_from_ms:
+                self._count_run(service, run.segments)
         return known
 
     def _renew(self, count: _Count) -> None:
--- a/packages/router/src/hemlockhall_router/request/attempt.py
+++ b/packages/router/src/hemlockhall_router/request/attempt.py
@@ -56,7 +56,7 @@
     latter case; the head of the response and events end both. ``rejected_for_room`` is
     true if an endpoint rejected it for want of room, and ``responded`` if the head of a
     response to it arrived. ``served`` is true once its first event arrived and the
-    endpoint did not crash soon after.
+    endpoint did not crash soon after, which was at ``ran_at``, a monotonic time.
     """
 
     def __init__(
@@ -81,7 +81,7 @@
         self.head: ResponseHead | None = None
         self.rejected_for_room = False
         self.responded = False
-        self.served = False
+        self.ran_at: float | None = None
         self._served_at = float("inf")
         self._statement = EndpointStatement()
         self.active_stream = ActiveStream(
@@ -191,6 +191,11 @@
             )
         return None
 
+    @property
+    def served(self) -> bool:
+        """Whether an endpoint served the request and did not crash soon after."""
+        return self.ran_at is not None
+
     def record_event(self) -> None:
         """Record that an event arrived that the caller does not have yet."""
         if not self.active_stream.first_event_seen:
@@ -226,7 +231,7 @@
         """Record that no endpoint crashed under the request."""
         if not self.served:
             self._context.quarantine.record_run(self._request)
-        self.served = True
+            self.ran_at = time.monotonic()
         self._served_at = float("inf")
         self._context.quarantine.record_served(self._request)
 
--- a/packages/router/src/hemlockhall_router/request/stream.py
+++ b/packages/router/src/hemlockhall_router/request/stream.py
@@ -343,7 +343,7 @@
             attempt.path.endpoints,
             responded=False,
             served=True,
-            ran=attempt.served,
+            ran_at=attempt.ran_at,
             closed=False,
             at=attempt.active_stream.last_event_at,
         )
@@ -508,7 +508,7 @@
             endpoints,
             responded=responded,
             served=self._served,
-            ran=attempt.served,
+            ran_at=attempt.ran_at,
             closed=reason is RetryReason.BROKEN,
         )
         if self._served:
--- a/tests/router/test_spectrum.py
+++ b/tests/router/test_spectrum.py
@@ -9,6 +9,7 @@
 from hemlockhall_router.process.spectrum import (
     BUCKET_MS,
     CAUSE_WAIT_MS,
+    LEAD_IN_MS,
     MAX_SENT,
     MAX_SOUND,
     MAX_SUSPECTS,
@@ -31,13 +32,15 @@
         for _ in range(count):
             self.spectra.record_run(SERVICE, segments)
 
-    def crash(self, *segments: int, ran: bool = False, request: int = 0) -> None:
+    def crash(
+        self, *segments: int, ran_ms: int | None = None, request: int = 0
+    ) -> None:
         self.crashes += 1
         self.now_ms += 200
         request = request or id(self) % 1000 + self.crashes * 1000
         crash = id(self) % 997 + self.crashes * 1000
         self.spectra.record_crash(
-            SERVICE, segments, request, crash, self.now_ms, ran=ran
+            SERVICE, segments, request, crash, self.now_ms, ran_ms=ran_ms
         )
 
     def causes(self) -> list[int]:
@@ -62,7 +65,7 @@
         host.run(BASE, count=5)
         for _ in range(3):
             host.run(BASE, BAD)
-            host.crash(BASE, BAD, ran=True)
+            host.crash(BASE, BAD, ran_ms=host.now_ms)
         assert host.spectra.spectrum(BAD) == Spectrum(4, 4, 4, 4, 5)
 
     def test_of_one_content_the_first_crash_counts(self) -> None:
@@ -77,17 +80,37 @@
         at the same endpoint crashed it first."""
         host = Host()
         for request in range(1, 5):
-            host.spectra.record_crash(
-                SERVICE, [BAD], request, 1, host.now_ms, ran=False
-            )
+            host.spectra.record_crash(SERVICE, [BAD], request, 1, host.now_ms)
         assert host.spectra.spectrum(BAD).attempts == 1
 
-    def test_nothing_is_counted_before_a_crash(self) -> None:
+    def test_attempts_shortly_before_the_first_crash_are_counted(self) -> None:
+        """Guards against the first crashes of a fatal segment that look like chance, as
+        hardly any sound attempt is known by then."""
+        host = Host()
+        host.run(BASE, count=5)
+        host.crash(BASE)
+        assert host.spectra.spectrum(BASE).attempts == 6
+
+    def test_nothing_is_counted_long_before_a_crash(self) -> None:
+        """Guards against blame for a segment that is first asked for while endpoints
+        crash, and the others long before."""
         host = Host()
         host.run(BASE, count=5)
+        host.now_ms += LEAD_IN_MS
         host.crash(BASE)
         assert host.spectra.spectrum(BASE).attempts == 1
 
+    def test_an_attempt_that_ran_before_the_counts_is_counted_as_it_crashes(
+        self,
+    ) -> None:
+        """Guards against long streams that are at crashes and in no count of attempts,
+        so that their segments seem to crash endpoints each time."""
+        host = Host()
+        ran_ms = host.now_ms - LEAD_IN_MS
+        for _ in range(3):
+            host.crash(BASE, ran_ms=ran_ms)
+        assert host.spectra.spectrum(BASE).attempts == 3
+
     def test_a_segment_that_was_sound_for_long_is_seen_to_crash(self) -> None:
         """Guards against a part that becomes fatal with a change of data."""
         host = Host()
--- a/tests/router/test_verdict.py
+++ b/tests/router/test_verdict.py
@@ -95,7 +95,8 @@
         request = self.request(*segments)
         endpoint = replace(ENDPOINT, started_ms=self.numbers)
         self.quarantine.record_run(request)
-        self.quarantine.weigh_crash(request, endpoint, time.monotonic(), ran=True)
+        now = time.monotonic()
+        self.quarantine.weigh_crash(request, endpoint, now, ran_at=now)
 
     def run(self, *segments: str) -> None:
         """Let a request get events."""
@@ -811,7 +812,8 @@
         assert tried.quarantine.refusal(request) is None
         tried.quarantine.record_run(request)
         endpoint = replace(ENDPOINT, started_ms=99)
-        tried.quarantine.weigh_crash(request, endpoint, time.monotonic(), ran=True)
+        now = time.monotonic()
+        tried.quarantine.weigh_crash(request, endpoint, now, ran_at=now)
         tried.advance(TRIAL_INTERVAL_MS / 1000)
         assert tried.refused("bad")
 
