Count crashes within a moment each if the endpoint was alive after the one before

Cause: crashes within 0.1 s count once, as a rack may have lost its power. When an endpoint crashes its requests are sent on together, and the next one crashes 0.05 to 0.07 s later; the fifth crash so was the third that counted.

An endpoint that began to respond to an attempt which was sent after the other one had ended did not end together with it. Such crashes now count each; hosts tell each other when the attempt was sent. Without a sign of life they count once, as before, so a rack counts once though requests are sent on within it.

--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -191,7 +191,8 @@
     got events for some time or ended with a crash. Under ``crashed`` requests with the
     segment an endpoint crashed for the first time. ``crashes`` has the keys of all
     crashes under its attempts; each came so many milliseconds after the begin of the
-    bucket as ``offsets_ms`` has at its place. No figure ever falls.
+    bucket as ``offsets_ms`` has at its place, and the endpoint was known to be alive so
+    many before as ``waited_ms`` has, if anything. No figure ever falls.
     """
 
     segment: int
@@ -203,6 +204,7 @@
     crashed: Integer
     crashes: list[Integer]
     offsets_ms: list[Integer]
+    waited_ms: list[Integer] = []
 
 
 class SegmentVerdict(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/router/src/hemlockhall_router/policy/crash.py
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -97,6 +97,20 @@
     return count
 
 
+def count_apart(ends: Iterable[EndedAttempt]) -> int:
+    """Return how many endpoints ended, those that may have ended together as one.
+
+    Two within ``CRASH_SPACING_MS`` may have, unless the later one is known to have been
+    alive when the earlier one had ended.
+    """
+    count, last_ms = 0, float("-inf")
+    for end in sorted(ends, key=lambda item: item.ended_ms):
+        if end.alive_ms < last_ms and end.ended_ms - last_ms < CRASH_SPACING_MS:
+            continue
+        count, last_ms = count + 1, end.ended_ms
+    return count
+
+
 def _first_crashes(evidence: Iterable[CrashEvidence]) -> list[CrashEvidence]:
     """Return the first crash under each request."""
     first: dict[int, CrashEvidence] = {}
@@ -124,6 +138,7 @@
     "MIN_REQUESTS_WITHOUT",
     "MIN_WAITING_REQUESTS",
     "EndedAttempt",
+    "count_apart",
     "count_ends_in_turn",
     "count_spaced",
     "is_fatal",
--- a/packages/router/src/hemlockhall_router/process/crash.py
+++ b/packages/router/src/hemlockhall_router/process/crash.py
@@ -49,15 +49,17 @@
     ``endpoints`` may have crashed. The request was sent to ``first`` at ``sent_at``,
     which closed the connection if ``closed`` is true, and ``found_at`` is when this
     host found that. ``served`` is true if an endpoint had served the request before,
-    and at ``ran_at``, if at all, it had sent events for some time in this attempt. From
-    ``lost_at`` on the endpoint counts as ended for its silence, which is taken back if
-    it goes on. The attempt is dropped at ``deadline``.
+    and at ``ran_at``, if at all, it had sent events for some time in this attempt. If
+    ``answered`` is true, ``first`` had begun to respond to it. From ``lost_at`` on the
+    endpoint counts as ended for its silence, which is taken back if it goes on. The
+    attempt is dropped at ``deadline``.
     """
 
     request: RoutedRequest
     first: Endpoint
     endpoints: Sequence[Endpoint]
     responded: bool
+    answered: bool
     served: bool
     ran_at: float | None
     closed: bool
@@ -111,6 +113,7 @@
         endpoints: Sequence[Endpoint],
         *,
         responded: bool,
+        answered: bool = False,
         served: bool = False,
         ran_at: float | None = None,
         closed: bool = True,
@@ -127,6 +130,8 @@
             first of them.
         responded : bool
             Whether the head of a response had arrived, and no event.
+        answered : bool
+            Whether the first endpoint had begun to respond, with or without events.
         served : bool
             Whether an endpoint had served the request before, or had sent events for
             some time.
@@ -156,6 +161,7 @@
             endpoints[0],
             staying,
             responded,
+            answered,
             served,
             ran_at,
             closed,
@@ -381,6 +387,7 @@
             after_ms=round((self._clock() - attempt.at) * 1000),
             segments=request.segments.logged,
         )
+        sent_to = endpoint.incarnation == attempt.first.incarnation
         self._quarantine.record_crash(
             request,
             endpoint,
@@ -388,10 +395,14 @@
             alive_at=self._alive_at(attempt),
             responded=attempt.responded,
             served=attempt.served,
-            sent_to=endpoint.incarnation == attempt.first.incarnation,
+            sent_to=sent_to,
         )
         self._quarantine.weigh_crash(
-            request, endpoint, attempt.at, ran_at=attempt.ran_at
+            request,
+            endpoint,
+            attempt.at,
+            answered_at=attempt.sent_at if sent_to and attempt.answered else None,
+            ran_at=attempt.ran_at,
         )
 
 
--- a/packages/router/src/hemlockhall_router/process/quarantine.py
+++ b/packages/router/src/hemlockhall_router/process/quarantine.py
@@ -391,6 +391,7 @@
         endpoint: Endpoint,
         at: float,
         *,
+        answered_at: float | None = None,
         ran_at: float | None = None,
     ) -> None:
         """Record for each segment that an endpoint crashed under an attempt.
@@ -403,6 +404,9 @@
             The incarnation that crashed.
         at : float
             When the attempt broke off, a monotonic time.
+        answered_at : float, optional
+            When the attempt was sent, a monotonic time, if the endpoint had begun to
+            respond to it.
         ran_at : float, optional
             When ``record_run`` was called for the attempt, a monotonic time.
         """
@@ -414,7 +418,8 @@
             request_key(request),
             crash_key(endpoint),
             shared_clock.at_ms(at),
-            ran_ms=None if ran_at is None else shared_clock.at_ms(ran_at),
+            answered_ms=_shared_ms(shared_clock, answered_at),
+            ran_ms=_shared_ms(shared_clock, ran_at),
         )
         for key in request.tried_segments:
             self._begin_again(key)
@@ -1153,6 +1158,10 @@
         return True
 
 
+def _shared_ms(shared_clock: SharedClock, at: float | None) -> int | None:
+    return None if at is None else shared_clock.at_ms(at)
+
+
 def _attempts(evidence: Iterable[_Evidence]) -> list[EndedAttempt]:
     """Return the attempts with one content that ended with their endpoints."""
     found = []
--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from heapq import nsmallest
+from itertools import zip_longest
 
 from hemlockhall_router.membership.message import SegmentRuns
-from hemlockhall_router.policy.crash import count_spaced
+from hemlockhall_router.policy.crash import EndedAttempt, count_apart
 from hemlockhall_router.policy.spectrum import Spectrum, find_cause
 
 # Attempts are counted in buckets of this length on the shared clock.
@@ -30,6 +31,8 @@
 # Counts of all attempts of hosts that are kept of a service.
 MAX_TOTALS = 8192
 MAX_SERVICE_CRASHES = 128
+# Longest time before its crash for which it matters that an endpoint was alive.
+MAX_WAITED_MS = 60_000
 # Requests, and crashes under them, that are known not to be counted again.
 MAX_SEEN = 8192
 # Counts that are new to this host are passed on for this time, and so many go in one
@@ -60,9 +63,8 @@
     """Attempts with one segment that one host sent in one bucket.
 
     ``attempts`` are those that got events for some time or ended with a crash. Under
-    ``crashed`` requests one crashed for the first time. ``crashes`` has the shared
-    times of all crashes under them, by their keys. No figure ever shrinks: the larger
-    one is the newer.
+    ``crashed`` requests one crashed for the first time. ``crashes`` has all crashes
+    under them, by their keys. No figure ever shrinks: the larger one is the newer.
 
     It was ``learned_ms`` that the figures are worth telling, last with
     ``told_attempts``, and they were ``sent`` so often since.
@@ -70,7 +72,7 @@
 
     attempts: int = 0
     crashed: int = 0
-    crashes: dict[int, int] = field(default_factory=dict)
+    crashes: dict[int, EndedAttempt] = field(default_factory=dict)
     learned_ms: int = 0
     sent: int = 0
     told_attempts: int = 0
@@ -99,9 +101,9 @@
             if at >= bucket:
                 yield item
 
-    def crashes(self, bucket: int) -> dict[int, int]:
-        """Return when endpoints crashed under its attempts, by the keys of crashes."""
-        found: dict[int, int] = {}
+    def crashes(self, bucket: int) -> dict[int, EndedAttempt]:
+        """Return the crashes of endpoints under its attempts, by their keys."""
+        found: dict[int, EndedAttempt] = {}
         for item in self.since(bucket):
             found |= item.crashes
         return found
@@ -112,13 +114,13 @@
     """All attempts at a service from ``counted_from_ms`` on, and all crashes.
 
     ``attempts`` has their number by host and bucket, ``sums`` that of all hosts by
-    bucket, and ``crashes`` the shared times of crashes by their keys.
+    bucket, and ``crashes`` the crashes by their keys.
     """
 
     counted_from_ms: int
     attempts: dict[tuple[int, int], int] = field(default_factory=dict)
     sums: Counter[int] = field(default_factory=Counter)
-    crashes: OrderedDict[int, int] = field(default_factory=OrderedDict)
+    crashes: OrderedDict[int, EndedAttempt] = field(default_factory=OrderedDict)
 
     def set_attempts(self, host: int, bucket: int, attempts: int) -> None:
         """Set the number of attempts of a host; it never shrinks."""
@@ -132,9 +134,9 @@
         """Count an attempt of a host."""
         self.set_attempts(host, bucket, self.attempts.get((host, bucket), 0) + 1)
 
-    def add_crash(self, crash: int, at_ms: int) -> None:
-        """Add a crash, unless it is known."""
-        self.crashes.setdefault(crash, at_ms)
+    def add_crash(self, crash: int, end: EndedAttempt) -> None:
+        """Add a crash, or what an attempt at the same endpoint shows of it."""
+        _add_end(self.crashes, crash, end)
         while len(self.crashes) > MAX_SERVICE_CRASHES:
             self.crashes.popitem(last=False)
 
@@ -207,6 +209,7 @@
         crash: int,
         at_ms: int,
         *,
+        answered_ms: int | None = None,
         ran_ms: int | None = None,
     ) -> None:
         """Record an endpoint that crashed under an attempt.
@@ -223,6 +226,9 @@
             first one is compared with those of others.
         at_ms : int
             The shared time of the crash.
+        answered_ms : int, optional
+            When the attempt was sent, a shared time, if the endpoint had begun to
+            respond to it, so that it was alive then.
         ran_ms : int, optional
             When ``record_run`` was called for the attempt, a shared time.
         """
@@ -237,7 +243,9 @@
         if not counted and crash not in self._own_crashes:
             known.add_attempt(self._host, bucket)
         _remember(self._own_crashes, crash)
-        known.add_crash(crash, at_ms)
+        alive_ms = at_ms - MAX_WAITED_MS if answered_ms is None else answered_ms
+        end = EndedAttempt(alive_ms, at_ms)
+        known.add_crash(crash, end)
         self._changed = True
         for key in segments:
             item = self._suspect(key, service)
@@ -247,8 +255,8 @@
                 # Of those that waited for the first event only one may be the cause.
                 count.attempts += 1
             count.crashed += first
-            if len(count.crashes) < MAX_COUNT_CRASHES:
-                count.crashes.setdefault(crash, at_ms)
+            if crash in count.crashes or len(count.crashes) < MAX_COUNT_CRASHES:
+                _add_end(count.crashes, crash, end)
             self._renew(count)
 
     def _begin(self, service: int) -> _Service:
@@ -315,17 +323,17 @@
         service = self._services[item.service]
         started_ms = bucket * BUCKET_MS
         all_crashes = {}
-        for crash, at_ms in service.crashes.items():
-            if at_ms >= started_ms and crash not in explained:
-                all_crashes[crash] = at_ms
+        for crash, end in service.crashes.items():
+            if end.ended_ms >= started_ms and crash not in explained:
+                all_crashes[crash] = end
         covered = item.crashes(0).keys() & all_crashes.keys()
-        covered_count = count_spaced([all_crashes[crash] for crash in covered])
-        uncovered = [at for crash, at in all_crashes.items() if crash not in covered]
+        covered_count = count_apart([all_crashes[crash] for crash in covered])
+        uncovered = [end for crash, end in all_crashes.items() if crash not in covered]
         return Spectrum(
             min(crashed, covered_count),
             covered_count,
             attempts,
-            covered_count + count_spaced(uncovered),
+            covered_count + count_apart(uncovered),
             max(0, service.attempts_since(bucket) - attempts),
         )
 
@@ -378,7 +386,9 @@
     def crashes(self, key: int) -> dict[int, int]:
         """Return the shared times of the crashes under a segment, by their keys."""
         item = self._suspects.get(key)
-        return item.crashes(0) if item is not None else {}
+        if item is None:
+            return {}
+        return {crash: end.ended_ms for crash, end in item.crashes(0).items()}
 
     def apply(self, counts: Iterable[SegmentRuns]) -> None:
         """Apply what another host has counted, or heard."""
@@ -402,13 +412,21 @@
             count.attempts = max(count.attempts, told.attempts)
             count.crashed = max(count.crashed, told.crashed)
             started_ms = told.bucket * BUCKET_MS
-            for crash, offset_ms in zip(told.crashes, told.offsets_ms, strict=False):
-                if crash in count.crashes or len(count.crashes) >= MAX_COUNT_CRASHES:
+            for crash, offset_ms, waited_ms in zip_longest(
+                told.crashes, told.offsets_ms, told.waited_ms
+            ):
+                if crash is None or offset_ms is None:
+                    break
+                known = crash in count.crashes
+                if not known and len(count.crashes) >= MAX_COUNT_CRASHES:
                     continue
                 # The clock of the other host may differ.
                 at_ms = min(now_ms, started_ms + offset_ms)
-                count.crashes[crash] = at_ms
-                service.add_crash(crash, at_ms)
+                if waited_ms is None:
+                    waited_ms = MAX_WAITED_MS
+                end = EndedAttempt(at_ms - waited_ms, at_ms)
+                _add_end(count.crashes, crash, end)
+                service.add_crash(crash, end)
                 item.last_crash_ms = max(item.last_crash_ms, at_ms)
 
     def counts(self) -> list[SegmentRuns]:
@@ -455,7 +473,8 @@
             self._services[service].attempts.get((host, bucket), count.attempts),
             count.crashed,
             list(count.crashes),
-            [max(0, at_ms - started_ms) for at_ms in count.crashes.values()],
+            [max(0, end.ended_ms - started_ms) for end in count.crashes.values()],
+            [_waited_ms(end) for end in count.crashes.values()],
         )
 
     def update(self) -> None:
@@ -474,6 +493,17 @@
                 del self._services[key]
 
 
+def _add_end(known: dict[int, EndedAttempt], crash: int, end: EndedAttempt) -> None:
+    """Add the end of an endpoint; of several attempts the latest one is kept."""
+    found = known.get(crash)
+    if found is None or found.alive_ms < end.alive_ms:
+        known[crash] = end
+
+
+def _waited_ms(end: EndedAttempt) -> int:
+    return max(0, min(MAX_WAITED_MS, end.ended_ms - end.alive_ms))
+
+
 def _remember(known: OrderedDict, key: object) -> None:
     known[key] = None
     while len(known) > MAX_SEEN:
--- a/tests/router/policy/test_crash.py
+++ b/tests/router/policy/test_crash.py
@@ -10,6 +10,7 @@
     MIN_REQUESTS,
     MIN_WAITING_REQUESTS,
     EndedAttempt,
+    count_apart,
     count_ends_in_turn,
     is_fatal,
 )
@@ -76,3 +77,19 @@
     def test_one_that_was_in_flight_before_does_not_hide_a_later_end(self) -> None:
         attempts = [EndedAttempt(0, 100), EndedAttempt(0, 300), EndedAttempt(300, 400)]
         assert count_ends_in_turn(attempts) == 2
+
+
+class TestApart:
+    def test_ends_within_a_moment_count_once(self) -> None:
+        """Guards against a rack that loses its power and counts as many crashes."""
+        assert count_apart([EndedAttempt(0, at) for at in (10, 12, 20)]) == 1
+
+    def test_one_that_was_alive_after_the_other_had_ended_counts(self) -> None:
+        """Guards against endpoints that crash at once under a request that is sent on,
+        and that count as one."""
+        ends = [EndedAttempt(0, 10), EndedAttempt(10, 60), EndedAttempt(60, 110)]
+        assert count_apart(reversed(ends)) == 3
+
+    def test_ends_that_are_apart_count_each(self) -> None:
+        ends = [EndedAttempt(0, at * CRASH_SPACING_MS) for at in range(4)]
+        assert count_apart(ends) == 4
--- a/tests/router/test_spectrum.py
+++ b/tests/router/test_spectrum.py
@@ -111,6 +111,29 @@
             host.crash(BASE, ran_ms=ran_ms)
         assert host.spectra.spectrum(BASE).attempts == 3
 
+    @pytest.mark.parametrize(("answered", "crashes"), [(True, 3), (False, 1)])
+    def test_crashes_of_a_request_that_is_sent_on_count_if_it_was_answered(
+        self, answered: bool, crashes: int
+    ) -> None:
+        """Guards against endpoints that crash one after the other under the same
+        requests, and that count once, like those of a rack that loses its power."""
+        host, other = Host(), Host()
+        for crash in range(1, 4):
+            sent_ms = host.now_ms
+            host.now_ms += 40
+            host.spectra.record_crash(
+                SERVICE,
+                [BAD],
+                1,
+                crash,
+                host.now_ms,
+                answered_ms=sent_ms if answered else None,
+            )
+        other.now_ms = host.now_ms
+        host.tell(other)
+        assert host.spectra.spectrum(BAD).covered == crashes
+        assert other.spectra.spectrum(BAD).covered == crashes
+
     def test_a_segment_that_was_sound_for_long_is_seen_to_crash(self) -> None:
         """Guards against a part that becomes fatal with a change of data."""
         host = Host()
