Let responses give way whose callers do not read them

Callers got no large response any more, for as long as a few others left theirs unread: with four unread responses of 6 MB no other of that size was served in 60 s, and the endpoint was left out as if it had failed.

Cause: whole responses of endpoints share 24 MB. Each keeps its part until it is sent, which has no bound in time, and only incomplete ones gave way. Class: an account from which nothing takes back what its holder does not use.

A body that is sent is now known to the budget with the time of its last progress. When the budget is spent, the one that has waited longest gives way, if its caller has taken nothing for a second; its connection is closed, as its response cannot be completed. While there is memory nothing is cut off.

--- a/packages/router/src/hemlockhall_router/connection/body.py
+++ b/packages/router/src/hemlockhall_router/connection/body.py
@@ -2,20 +2,31 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
+import time
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
 from socket import SO_RCVBUF, SOL_SOCKET
 from typing import TYPE_CHECKING
 
+import anyio
 from anyio.abc import SocketAttribute
 
-from hemlockhall_router.connection.error import MemoryLimitError, SizeLimitError
+from hemlockhall_router.connection.error import (
+    CallerStalledError,
+    MemoryLimitError,
+    SizeLimitError,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
     from anyio.abc import SocketStream
 
 # Together on this host, which may have 300 MB. A body exists twice while its parts are
 # joined.
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024
+# Time without progress after which a body gives way that is sent to a caller.
+STALLED_SEND_S = 1.0
 # Parts below this size are collected: each is an object.
 MIN_PART_BYTES = 16_384
 # Written at once: what the socket does not take is copied.
@@ -29,13 +40,15 @@
     """Bounds the memory of several ``BodyBuffer`` together, and of bytes before them.
 
     When it is spent, the largest incomplete body gives way: one without an end takes
-    no room from the others. ``used`` are the bytes of bodies, ``read_ahead`` those that
-    were received and not parsed yet.
+    no room from the others. Before that those give way whose callers do not read them:
+    they are complete, and nothing else ends them. ``used`` are the bytes of bodies,
+    ``read_ahead`` those that were received and not parsed yet.
     """
 
     def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
         self._max_bytes = max_bytes
         self._incomplete: set[BodyBuffer] = set()
+        self._sendings: set[Sending] = set()
         self.used = 0
         self.read_ahead = 0
 
@@ -46,11 +59,30 @@
         return buffer
 
     def take(self, count: int) -> None:
-        """Take bytes for an incomplete buffer; empty the largest ones if need be."""
+        """Take bytes for an incomplete buffer; empty others, or it, if need be."""
         self.used += count
+        while self.used > self._max_bytes and self._end_stalled():
+            continue
         while self.used > self._max_bytes and self._incomplete:
             max(self._incomplete, key=_size).close()
 
+    def _end_stalled(self) -> bool:
+        """End the sending that has waited longest; return whether one has stalled."""
+        oldest = min(self._sendings, key=_progress_at, default=None)
+        if oldest is None or time.monotonic() - oldest.progress_at < STALLED_SEND_S:
+            return False
+        self._sendings.discard(oldest)
+        oldest.end()
+        return True
+
+    def add_sending(self, sending: Sending) -> None:
+        """Let a body give way if its caller takes nothing of it."""
+        self._sendings.add(sending)
+
+    def remove_sending(self, sending: Sending) -> None:
+        """Forget a body that was sent, or will not be."""
+        self._sendings.discard(sending)
+
     def has_room(self, count: int) -> bool:
         """Return whether so many bytes may be read ahead."""
         return self.used + self.read_ahead + count <= self._max_bytes
@@ -119,6 +151,25 @@
         self._parts, self._small = [], bytearray()
         return data
 
+    @contextmanager
+    def sending(self) -> Iterator[Sending]:
+        """Send the complete body within the context, which may be cancelled for it.
+
+        Raises
+        ------
+        CallerStalledError
+            If the caller took nothing for a while, and others need the memory.
+        """
+        sending = Sending(self, time.monotonic())
+        self._budget.add_sending(sending)
+        try:
+            with sending.scope:
+                yield sending
+        finally:
+            self._budget.remove_sending(sending)
+        if sending.scope.cancelled_caught:
+            raise CallerStalledError
+
     def close(self) -> None:
         """Drop the bytes and give them back; further calls have no effect."""
         if self._closed:
@@ -132,10 +183,35 @@
         self.close()
 
 
+@dataclass(slots=True, eq=False)
+class Sending:
+    """A complete body on its way to a caller.
+
+    The caller took the latest part of it at ``progress_at``, a monotonic time.
+    """
+
+    buffer: BodyBuffer
+    progress_at: float
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    def record_progress(self) -> None:
+        """Record that the caller took a part."""
+        self.progress_at = time.monotonic()
+
+    def end(self) -> None:
+        """Send no more, and give the bytes back."""
+        self.buffer.close()
+        self.scope.cancel()
+
+
 def _size(buffer: BodyBuffer) -> int:
     return buffer.size
 
 
+def _progress_at(sending: Sending) -> float:
+    return sending.progress_at
+
+
 def limit_receive_buffer(stream: SocketStream) -> None:
     """Bound what the kernel receives before it is read, unless it is closed."""
     sock = stream.extra(SocketAttribute.raw_socket)
@@ -156,13 +232,22 @@
         stream._transport.pause_reading()  # type: ignore[attr-defined]  # noqa: SLF001
 
 
-async def send_in_parts(stream: SocketStream, data: bytes) -> None:
-    """Send bytes, of which only a part is copied at a time."""
+async def send_in_parts(
+    stream: SocketStream,
+    data: bytes,
+    on_progress: Callable[[], None] = lambda: None,
+) -> None:
+    """Send bytes, of which only a part is copied at a time.
+
+    After each part ``on_progress`` is called.
+    """
     if len(data) <= SEND_BYTES:
         await stream.send(data)
+        on_progress()
         return
     for first in range(0, len(data), SEND_BYTES):
         await stream.send(data[first : first + SEND_BYTES])
+        on_progress()
 
 
 # Of the responses of endpoints, and of the requests of callers.
--- a/packages/router/src/hemlockhall_router/connection/caller.py
+++ b/packages/router/src/hemlockhall_router/connection/caller.py
@@ -27,9 +27,11 @@
 from hemlockhall_router.connection.message import RequestHead, encode_response_head
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import SocketStream
 
-    from hemlockhall_router.connection.message import Headers
+    from hemlockhall_router.connection.message import Headers, Response
 
 READ_BYTES = 65_536
 # Bytes buffered while a request is served: enough for a few pipelined requests, few
@@ -317,10 +319,30 @@
         while not self.disconnected:
             await anyio.sleep(CLOSE_POLL_S)
 
-    async def send(self, data: bytes) -> None:
-        """Send bytes or raise ``CallerDisconnectedError``."""
+    async def send_body(self, response: Response) -> None:
+        """Send the body of an endpoint's response.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the caller has disconnected, or if it takes nothing of a large body whose
+            memory others need (``CallerStalledError``).
+        """
+        if response.buffer is None:
+            await self.send(response.body)
+            return
+        with response.buffer.sending() as sending:
+            await self.send(response.body, sending.record_progress)
+
+    async def send(
+        self, data: bytes, on_progress: Callable[[], None] = lambda: None
+    ) -> None:
+        """Send bytes or raise ``CallerDisconnectedError``.
+
+        After each part ``on_progress`` is called.
+        """
         try:
-            await send_in_parts(self._stream, data)
+            await send_in_parts(self._stream, data, on_progress)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise CallerDisconnectedError from exc
 
--- a/packages/router/src/hemlockhall_router/connection/error.py
+++ b/packages/router/src/hemlockhall_router/connection/error.py
@@ -67,9 +67,14 @@
     """The caller closed its connection."""
 
 
+class CallerStalledError(CallerDisconnectedError):
+    """The caller takes none of a large response, whose memory others need."""
+
+
 __all__ = [
     "CallerDisconnectedError",
     "CallerError",
+    "CallerStalledError",
     "ConnectionLostError",
     "ConnectRefusedError",
     "MemoryLimitError",
--- a/packages/router/src/hemlockhall_router/request/plain.py
+++ b/packages/router/src/hemlockhall_router/request/plain.py
@@ -11,6 +11,7 @@
 
 from hemlockhall_router.connection.client import ClientConnection
 from hemlockhall_router.connection.error import (
+    CallerStalledError,
     ConnectionLostError,
     NotSentError,
     ReadTimeoutError,
@@ -101,7 +102,21 @@
             await self._give_up(self._refusal, self._retry_after_s)
             return
         self._request.completed = True
-        await self._writer.forward(response)
+        await self._forward(response)
+
+    async def _forward(self, response: Response) -> None:
+        """Send a response, unless the caller does not read it and memory is short."""
+        try:
+            await self._writer.forward(response)
+        except CallerStalledError:
+            self._context.metrics.count("connections", "closed_stalled")
+            logger.info(
+                "response given up",
+                request=decode_value(self._request.id),
+                cause="the caller does not read it, and others need the memory",
+                bytes=len(response.body),
+            )
+            raise
 
     async def _first_response(self, race: AttemptRace) -> Response | None:
         """Return the first whole response, or None if the request is given up.
@@ -465,7 +480,7 @@
         request = self._request
         if self._error_response is not None:
             request.completed = True
-            await self._writer.forward(self._error_response)
+            await self._forward(self._error_response)
             return
         expired = request.remaining_s <= 0
         verdict = self._context.quarantine.refusal(request)
--- a/packages/router/src/hemlockhall_router/request/response_writer.py
+++ b/packages/router/src/hemlockhall_router/request/response_writer.py
@@ -65,7 +65,13 @@
         headers = _forwarded_headers(response.head.headers)
         headers.append((b"Content-Length", b"%d" % len(response.body)))
         body = b"" if self._head.method == b"HEAD" else response.body
-        await self._send(response.head.status, response.head.reason, headers, body)
+        status, reason = response.head.status, response.head.reason
+        if len(body) > SEND_BYTES:
+            # With the head it would be one more copy.
+            await self._send(status, reason, headers, b"")
+            await self._reader.send_body(response)
+        else:
+            await self._send(status, reason, headers, body)
         self.complete = True
 
     async def local_reply(
@@ -108,13 +114,7 @@
         if self.close_connection:
             headers.append(CLOSE)
         self.status = status
-        text = encode_response_head(status, reason, headers)
-        if len(body) > SEND_BYTES:
-            # Together they would be one more copy.
-            await self._reader.send(text)
-            await self._reader.send(body)
-            return
-        await self._reader.send(text + body)
+        await self._reader.send(encode_response_head(status, reason, headers) + body)
 
 
 def _forwarded_headers(headers: Headers) -> Headers:
--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -11,7 +11,7 @@
 import pytest
 
 from hemlockhall_platform_standins.call import Call, Outcome, read_outcome
-from hemlockhall_platform_standins.crowd import CLIENTS, Crowd
+from hemlockhall_platform_standins.crowd import CLIENTS, SLOW_READER, Crowd
 from hemlockhall_platform_standins.document import (
     PREFIXES,
     RETRY_CONSTANT,
@@ -33,6 +33,8 @@
 # Descriptors besides those of the crowd: of endpoints, hosts and lingering closes.
 MORE_FILES = 150
 FILES_AFTERWARDS = 30
+# Larger than what sockets hold.
+LARGE_ANSWER = b"y" * 6_000_000
 # All that one request may have.
 LARGEST_BODY_BYTES = 4 * 1024 * 1024
 
@@ -109,15 +111,29 @@
         return False
 
 
+def small_answer(target: str) -> bytes:
+    """Return what an endpoint answers."""
+    return b"y" * 800
+
+
+def large_answer(target: str) -> bytes:
+    """Return what an endpoint with large answers does."""
+    return LARGE_ANSWER
+
+
 @asynccontextmanager
-async def machine() -> AsyncIterator[Machine]:
+async def machine(
+    answer: Callable[[str], bytes] = small_answer,
+) -> AsyncIterator[Machine]:
     """Run a router with one endpoint."""
     address = loopback_host()
     store = SoakStore(encode_document)
     await store.start(address)
     await store.configure()
     process = RouterProcess("host-0", "z-0", store.address, [], RETRY_CONSTANT)
-    endpoint = PlainEndpoint("desk-1", "desk", store, 50, lambda _: 0.01, lambda *_: 0)
+    endpoint = PlainEndpoint(
+        "desk-1", "desk", store, 50, lambda _: 0.01, lambda *_: 0, answer=answer
+    )
     try:
         await endpoint.start(address)
         process.advertised = f"{address}:{free_port(address)}"
@@ -161,6 +177,22 @@
             await check(found, crowd, found.files())
 
 
+class TestSlowReaders:
+    async def test_others_are_answered_meanwhile(self) -> None:
+        """Guards against answers that are held for callers who do not read them, until
+        there is no memory for those of the others."""
+        async with machine(large_answer) as found:
+            crowd = Crowd(found.process.front, [SLOW_READER], CONNECTIONS)
+            async with anyio.create_task_group() as group:
+                group.start_soon(crowd.run)
+                await anyio.sleep(SECONDS)
+                answered = await found.answers("read")
+                files = found.files()
+                group.cancel_scope.cancel()
+            assert answered
+            await check(found, crowd, files)
+
+
 class TestOtherPorts:
     @pytest.mark.parametrize("port", ["ready", "control"])
     async def test_a_crowd_is_borne(self, port: str) -> None:
--- a/tests/router/test_connection_memory.py
+++ b/tests/router/test_connection_memory.py
@@ -10,7 +10,12 @@
 import pytest
 from anyio.abc import SocketStream
 
-from hemlockhall_router.connection.body import BodyBudget, receive
+from hemlockhall_router.connection.body import (
+    STALLED_SEND_S,
+    BodyBudget,
+    BodyBuffer,
+    receive,
+)
 from hemlockhall_router.connection.caller import (
     MAX_PIPELINED_BYTES,
     PARSE_BYTES,
@@ -18,6 +23,8 @@
     CallerLimits,
     CallerReader,
 )
+from hemlockhall_router.connection.error import CallerStalledError, MemoryLimitError
+from hemlockhall_standins.virtual_time import VirtualClock
 
 pytestmark = pytest.mark.anyio
 
@@ -61,6 +68,40 @@
             assert len(stream._protocol.read_queue) == before
 
 
+def whole_body(budget: BodyBudget) -> BodyBuffer:
+    """Return the buffer of a complete body that takes half of a budget."""
+    buffer = budget.open(READ_BYTES)
+    buffer.append(b"x" * READ_BYTES)
+    buffer.complete()
+    return buffer
+
+
+class TestSending:
+    async def test_a_body_that_its_caller_does_not_read_gives_way(
+        self, clock: VirtualClock
+    ) -> None:
+        """Guards against answers that callers leave in their sockets, until there is no
+        memory for those of the others."""
+        budget = BodyBudget(READ_BYTES * 2)
+        with pytest.raises(CallerStalledError):
+            with whole_body(budget).sending(), whole_body(budget).sending() as other:
+                clock.advance(STALLED_SEND_S)
+                other.record_progress()
+                late = budget.open(READ_BYTES)
+                late.append(b"x" * READ_BYTES)
+                await anyio.sleep_forever()
+        assert len(late.complete()) == READ_BYTES
+
+    async def test_one_that_its_caller_reads_is_kept(self, clock: VirtualClock) -> None:
+        budget = BodyBudget(READ_BYTES * 2)
+        with whole_body(budget).sending() as sending, whole_body(budget).sending():
+            late = budget.open(READ_BYTES)
+            with pytest.raises(MemoryLimitError):
+                late.append(b"x" * READ_BYTES)
+            await anyio.sleep(0)
+            assert not sending.scope.cancel_called
+
+
 class TestCaller:
     async def test_few_of_the_requests_that_have_arrived_are_parsed(self) -> None:
         """Guards against thousands of parsed requests of callers that do not wait for
