Bound the connections of callers, and leave descriptors to the others

A crowd that opened connections and sent nothing took all descriptors of a host: with 200 descriptors and 300 connections an ordinary caller got no answer for some 14 s, until they were idle for too long, the accept task failed 30 times, and the settings could not be read. Endpoints, hosts and the store need descriptors, too.

Cause: nothing bounds how many connections a port takes. Class: a resource of the process that one side takes without an account.

Callers may have 2000 connections open, and half of the descriptors at most. A host with 4,096 cannot serve more at once, as each request has another one to its endpoint. Beyond it the connection that has waited longest for a request is closed for a new one; while none waits, new ones are closed unread, so their callers come back. The port for readiness has 64.

--- a/packages/router/src/hemlockhall_router/process/frontend.py
+++ b/packages/router/src/hemlockhall_router/process/frontend.py
@@ -35,6 +35,7 @@
 
     from anyio.abc import SocketStream
 
+    from hemlockhall_router.connection.bound import ConnectionBound
     from hemlockhall_router.connection.message import RequestHead
     from hemlockhall_router.membership.message import SegmentVerdict
     from hemlockhall_router.process.admission import Admission
@@ -116,6 +117,8 @@
         Returns the time since it was last known to be the newest one.
     intake : Intake
         Decides which new connections are served.
+    connections : ConnectionBound
+        Bounds how many are open.
     supervisor : Supervisor
         Reports errors in the code that serves a request.
     others_stay : callable
@@ -129,6 +132,7 @@
         routing: Callable[[], RoutingConfig | None],
         routing_age_s: Callable[[], float],
         intake: Intake,
+        connections: ConnectionBound,
         supervisor: Supervisor,
         others_stay: Callable[[], bool],
     ) -> None:
@@ -139,7 +143,7 @@
         self._routing = routing
         self._routing_age_s = routing_age_s
         self._intake = intake
-        self._idle: set[anyio.CancelScope] = set()
+        self._connections = connections
         self._shutdown = Shutdown()
         self._durations = Durations(time.monotonic)
         self._open: set[OpenRequest] = set()
@@ -180,8 +184,7 @@
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
-        for scope in list(self._idle):
-            scope.cancel()
+        self._connections.close_waiting()
 
     def log_open(self, left_at: float) -> None:
         """Log the requests that the end of the process cuts off.
@@ -205,10 +208,14 @@
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection until either side closes it."""
-        if not self._intake.accepts():
+        with self._connections.admit() as admitted:
+            if admitted and self._intake.accepts():
+                await self._serve_connection(stream)
+                return
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(stream)
-            return
+
+    async def _serve_connection(self, stream: SocketStream) -> None:
         routing = self._routing()
         limit_receive_buffer(stream)
         reader = CallerReader(stream, routing.limits if routing else CallerLimits())
@@ -234,12 +241,8 @@
             reader.limits = routing.limits
         head = None
         try:
-            with anyio.CancelScope() as idle:
-                self._idle.add(idle)
-                try:
-                    head = await reader.read_head()
-                finally:
-                    self._idle.discard(idle)
+            with self._connections.waiting():
+                head = await reader.read_head()
         except CallerError as exc:
             self._count_unreadable(exc)
             await reader.send_error(exc)
--- a/packages/router/src/hemlockhall_router/process/router.py
+++ b/packages/router/src/hemlockhall_router/process/router.py
@@ -13,6 +13,7 @@
 import anyio
 from loguru import logger
 
+from hemlockhall_router.connection.bound import ConnectionBound
 from hemlockhall_router.connection.caller import CallerLimits, CallerReader
 from hemlockhall_router.connection.error import CallerDisconnectedError, CallerError
 from hemlockhall_router.connection.message import encode_response_head
@@ -73,6 +74,8 @@
 # Above the usual duration of a call to the store; bounds the time to exit.
 LEASE_RELEASE_TIMEOUT_S = 0.3
 LISTEN_BACKLOG = 1024
+# Connections of balancers and of those who read the metrics.
+MAX_HEALTH_CONNECTIONS = 64
 
 
 class Router:
@@ -217,12 +220,22 @@
             self.quarantine,
         )
         self.intake = Intake(self.membership.relative_demand, metrics, time.monotonic)
+        self._health_connections = ConnectionBound(
+            "ready",
+            MAX_HEALTH_CONNECTIONS,
+            partial(metrics.count, "health_connections"),
+        )
         self.frontend = Frontend(
             context,
             self.admission,
             lambda: self.routing,
             lambda: self._routing_watch.age_s,
             self.intake,
+            ConnectionBound(
+                "callers",
+                settings.listen.max_connections,
+                partial(metrics.count, "connections"),
+            ),
             self._supervisor,
             self.membership.enough_hosts_stay,
         )
@@ -296,14 +309,23 @@
             await self._supervisor.run("accept", accept)
 
     async def _serve_health(self, stream: SocketStream) -> None:
-        with self._supervisor.contain("health"):
-            await self._answer_health(stream)
+        with (
+            self._supervisor.contain("health"),
+            self._health_connections.admit() as admitted,
+        ):
+            if admitted:
+                await self._answer_health(stream)
+                return
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
 
     async def _answer_health(self, stream: SocketStream) -> None:
         reader = CallerReader(stream, CallerLimits())
         try:
             while True:
-                head = await reader.read_head()
+                head = None
+                with self._health_connections.waiting():
+                    head = await reader.read_head()
                 if head is None:
                     return
                 await reader.read_body(time.monotonic() + 1.0)
--- a/packages/router/src/hemlockhall_router/process/setting.py
+++ b/packages/router/src/hemlockhall_router/process/setting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tomllib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -44,12 +44,15 @@
     """Addresses for callers, for readiness checks and metrics, and for other hosts.
 
     Other hosts are told ``advertised_hosts``, if there is one, in place of ``hosts``.
+    Callers may have ``max_connections`` open, and fewer if that is more than half of
+    the descriptors that the process may have.
     """
 
     callers: str
     ready: str
     hosts: str
     advertised_hosts: str = ""
+    max_connections: Annotated[int, msgspec.Meta(ge=1)] = 2000
 
 
 class StoreSection(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/platform/test_crowd.py
+++ b/tests/platform/test_crowd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -33,6 +34,8 @@
 # Descriptors besides those of the crowd: of endpoints, hosts and lingering closes.
 MORE_FILES = 150
 FILES_AFTERWARDS = 30
+# That a process may have, fewer than a crowd has connections.
+MAX_FILES = 140
 # Larger than what sockets hold.
 LARGE_ANSWER = b"y" * 6_000_000
 # All that one request may have.
@@ -55,6 +58,10 @@
         """Return the number of its open descriptors."""
         return len(list(Path(f"/proc/{self._pid}/fd").iterdir()))
 
+    def allow_files(self, count: int) -> None:
+        """Let the process have so many descriptors."""
+        resource.prlimit(self._pid, resource.RLIMIT_NOFILE, (count, count))
+
     @property
     def _pid(self) -> int:
         assert self.process.process is not None
@@ -177,6 +184,28 @@
             await check(found, crowd, found.files())
 
 
+class TestDescriptors:
+    @pytest.mark.parametrize("port", ["front", "ready"])
+    async def test_a_crowd_leaves_some_for_the_others(self, port: str) -> None:
+        """Guards against connections that take all descriptors: the host then reaches
+        neither endpoints nor the store, and accepts no caller."""
+        async with machine() as found:
+            found.allow_files(MAX_FILES)
+            host, _, number = found.process.listen[port].rpartition(":")
+            crowd = Crowd((host, int(number)), ["nothing"], CONNECTIONS)
+            async with anyio.create_task_group() as group:
+                group.start_soon(crowd.run)
+                await anyio.sleep(SECONDS)
+                files = found.files()
+                answered = await found.answers("read")
+                group.cancel_scope.cancel()
+            assert found.process.running
+            assert answered
+            assert files < MAX_FILES
+            assert "Too many open files" not in found.process.log()
+            assert await found.is_calm()
+
+
 class TestSlowReaders:
     async def test_others_are_answered_meanwhile(self) -> None:
         """Guards against answers that are held for callers who do not read them, until
