--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -51,7 +51,7 @@
     A ``silent`` server leaves calls without a response.
     """
 
-    responses: list[tuple[int, dict] | None]
+    responses: list[tuple[int | str, dict] | None]
     calls: list[tuple[str, dict, dict]] = field(default_factory=list)
     silent: bool = False
 
@@ -78,7 +78,7 @@
 
 @asynccontextmanager
 async def scripted_store(
-    *responses: tuple[int, dict] | None,
+    *responses: tuple[int | str, dict] | None,
 ) -> AsyncIterator[tuple[PlatformStore, ScriptedServer]]:
     server = ScriptedServer(list(responses))
     listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -164,6 +164,22 @@
             await store.write(Table.LEASE, "k", b"me", 0, deadline())
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+class TestStatusOfNone:
+    async def test_a_read_fails_at_once(self, status: str) -> None:
+        """Guards against a read that waits until its deadline for another response."""
+        async with scripted_store((status, {})) as (store, _):
+            with anyio.fail_after(5), pytest.raises(StoreNoAnswerError):
+                await store.read(Table.ROUTING, deadline())
+
+    async def test_a_write_leaves_the_outcome_unknown(self, status: str) -> None:
+        """Guards against a write that counts as refused and may have been done."""
+        async with scripted_store((status, {}), (200, {"ver": 3})) as (store, _):
+            with anyio.fail_after(5), pytest.raises(StoreNoAnswerError):
+                await store.write(Table.LEASE, "k", b"me", 0, deadline())
+            assert (await store.write(Table.LEASE, "k", b"me", 0, deadline())).version
+
+
 class TestEndlessResponses:
     @pytest.mark.parametrize(
         "case", ["header fields", "trailers", "body until the end of the connection"]
