Blame a segment only if it is at more crashes than chance puts it at

Cause: the likelihood takes each attempt for the one that caused a crash, as if it were alone at its endpoint. Of ten requests at an endpoint one is likely to have a segment that a third of all have, so the segment is at nearly all crashes.

Hosts now also count how many attempts were at each endpoint that crashed, and tell it with the crashes. A segment must be at the crashes more often than its share of all attempts puts it at so many (Bayes factor of 2, for one that causes any fraction of them); one that is not takes no part in the comparison.

--- a/packages/router/src/hemlockhall_router/membership/message.py
+++ b/packages/router/src/hemlockhall_router/membership/message.py
@@ -192,7 +192,8 @@
     segment an endpoint crashed for the first time. ``crashes`` has the keys of all
     crashes under its attempts; each came so many milliseconds after the begin of the
     bucket as ``offsets_ms`` has at its place, and the endpoint was known to be alive so
-    many before as ``waited_ms`` has, if anything. No figure ever falls.
+    many before as ``waited_ms`` has, if anything. ``at_crashes`` has how many attempts
+    of the host were at each endpoint. No figure ever falls.
     """
 
     segment: int
@@ -205,6 +206,7 @@
     crashes: list[Integer]
     offsets_ms: list[Integer]
     waited_ms: list[Integer] = []
+    at_crashes: list[Integer] = []
 
 
 class SegmentVerdict(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/router/src/hemlockhall_router/policy/crash.py
+++ b/packages/router/src/hemlockhall_router/policy/crash.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from hemlockhall_router.membership.message import CrashEvidence
 
@@ -97,18 +97,19 @@
     return count
 
 
-def count_apart(ends: Iterable[EndedAttempt]) -> int:
-    """Return how many endpoints ended, those that may have ended together as one.
+def select_apart(ends: Mapping[int, EndedAttempt]) -> list[int]:
+    """Return the keys of ends, one of those that may have ended together.
 
     Two within ``CRASH_SPACING_MS`` may have, unless the later one is known to have been
     alive when the earlier one had ended.
     """
-    count, last_ms = 0, float("-inf")
-    for end in sorted(ends, key=lambda item: item.ended_ms):
+    found, last_ms = [], float("-inf")
+    for key, end in sorted(ends.items(), key=lambda item: item[1].ended_ms):
         if end.alive_ms < last_ms and end.ended_ms - last_ms < CRASH_SPACING_MS:
             continue
-        count, last_ms = count + 1, end.ended_ms
-    return count
+        found.append(key)
+        last_ms = end.ended_ms
+    return found
 
 
 def _first_crashes(evidence: Iterable[CrashEvidence]) -> list[CrashEvidence]:
@@ -138,10 +139,10 @@
     "MIN_REQUESTS_WITHOUT",
     "MIN_WAITING_REQUESTS",
     "EndedAttempt",
-    "count_apart",
     "count_ends_in_turn",
     "count_spaced",
     "is_fatal",
     "is_fatal_request",
     "needs_companion",
+    "select_apart",
 ]
--- a/packages/router/src/hemlockhall_router/policy/spectrum.py
+++ b/packages/router/src/hemlockhall_router/policy/spectrum.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
 from functools import cached_property
 
 # Requests with crashes at different moments below which no segment is blamed.
@@ -18,6 +18,11 @@
 # is compared, and how much better than any other segment, as a logarithm.
 MIN_FACTOR = 100
 MIN_LEAD = math.log(10)
+# How much better than chance a segment must be at the crashes, as a logarithm: of many
+# attempts at an endpoint that crashes, one is likely to have a segment that is popular.
+MIN_EXCESS = math.log(2)
+# Steps of the integral over the fraction of crashes that a segment causes.
+STEPS = 32
 # Probability below which whole responses in a row contradict a blamed segment.
 MAX_RELEASE_CHANCE = 0.05
 
@@ -28,7 +33,8 @@
 
     It was in flight at ``covered`` of all ``crashes`` of the service, and endpoints
     crashed under ``crashed`` different requests with it. ``attempts`` counts those with
-    it, ``other_attempts`` those without.
+    it, ``other_attempts`` those without. ``excess`` is how much better than chance it
+    is at the crashes, as in ``excess_at``.
     """
 
     crashed: int = 0
@@ -36,6 +42,7 @@
     attempts: int = 0
     crashes: int = 0
     other_attempts: int = 0
+    excess: float = field(default=math.inf, compare=False)
 
     @cached_property
     def support(self) -> float:
@@ -64,6 +71,34 @@
         return math.ceil(math.log(MAX_RELEASE_CHANCE) / math.log(rate))
 
 
+def excess_at(
+    share: float, at_covered: Iterable[int], at_uncovered: Iterable[int]
+) -> float:
+    """Return how much better than chance a segment is at crashes, as a logarithm.
+
+    It is that of the Bayes factor for a segment that causes some of the crashes, at any
+    fraction, against one that is at an endpoint by chance.
+
+    Parameters
+    ----------
+    share : float
+        The fraction of all attempts that have the segment.
+    at_covered, at_uncovered : iterable of int
+        How many attempts were at the endpoint at each crash at which the segment was,
+        and was not.
+    """
+    covered = [1 - (1 - share) ** count for count in at_covered]
+    uncovered = sum(1 for _ in at_uncovered)
+    total = 0.0
+    for step in range(STEPS):
+        caused = (step + 0.5) / STEPS
+        factor = (1 - caused) ** uncovered
+        for chance in covered:
+            factor *= caused / chance + 1 - caused
+        total += factor
+    return math.log(total / STEPS)
+
+
 def find_cause(spectra: Collection[Spectrum]) -> Spectrum | None:
     """Return the one of the segments that explains the crashes, or None.
 
@@ -75,12 +110,13 @@
     spectra : collection of Spectrum
         Those of all segments; such that were in the same requests have one together.
     """
-    ranked = sorted(spectra, key=lambda item: item.support, reverse=True)
+    compared = [item for item in spectra if item.excess >= MIN_EXCESS]
+    ranked = sorted(compared, key=lambda item: item.support, reverse=True)
     if not ranked or ranked[0].crashed < MIN_CRASHED:
         return None
     runner_up = ranked[1].support if len(ranked) > 1 else 0.0
     best = ranked[0].support
-    if best < math.log(MIN_FACTOR * len(ranked)) or best - runner_up < MIN_LEAD:
+    if best < math.log(MIN_FACTOR * len(spectra)) or best - runner_up < MIN_LEAD:
         return None
     return ranked[0]
 
@@ -99,5 +135,6 @@
     "MIN_CRASHED",
     "MIN_LEAD",
     "Spectrum",
+    "excess_at",
     "find_cause",
 ]
--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -10,8 +10,8 @@
 from itertools import zip_longest
 
 from hemlockhall_router.membership.message import SegmentRuns
-from hemlockhall_router.policy.crash import EndedAttempt, count_apart
-from hemlockhall_router.policy.spectrum import Spectrum, find_cause
+from hemlockhall_router.policy.crash import EndedAttempt, select_apart
+from hemlockhall_router.policy.spectrum import Spectrum, excess_at, find_cause
 
 # Attempts are counted in buckets of this length on the shared clock.
 BUCKET_MS = 10_000
@@ -114,13 +114,15 @@
     """All attempts at a service from ``counted_from_ms`` on, and all crashes.
 
     ``attempts`` has their number by host and bucket, ``sums`` that of all hosts by
-    bucket, and ``crashes`` the crashes by their keys.
+    bucket, and ``crashes`` the crashes by their keys. ``at_crashes`` has how many
+    attempts of each host were at the endpoint.
     """
 
     counted_from_ms: int
     attempts: dict[tuple[int, int], int] = field(default_factory=dict)
     sums: Counter[int] = field(default_factory=Counter)
     crashes: OrderedDict[int, EndedAttempt] = field(default_factory=OrderedDict)
+    at_crashes: dict[int, Counter[int]] = field(default_factory=dict)
 
     def set_attempts(self, host: int, bucket: int, attempts: int) -> None:
         """Set the number of attempts of a host; it never shrinks."""
@@ -137,8 +139,20 @@
     def add_crash(self, crash: int, end: EndedAttempt) -> None:
         """Add a crash, or what an attempt at the same endpoint shows of it."""
         _add_end(self.crashes, crash, end)
+        self.at_crashes.setdefault(crash, Counter())
         while len(self.crashes) > MAX_SERVICE_CRASHES:
-            self.crashes.popitem(last=False)
+            oldest, _ = self.crashes.popitem(last=False)
+            del self.at_crashes[oldest]
+
+    def set_at_crash(self, crash: int, host: int, attempts: int) -> None:
+        """Set how many attempts of a host a crash broke off; it never shrinks."""
+        counts = self.at_crashes.get(crash)
+        if counts is not None:
+            counts[host] = max(attempts, counts[host])
+
+    def at_crash(self, crash: int) -> int:
+        """Return how many attempts were at the endpoint at a crash, 1 at least."""
+        return max(1, self.at_crashes[crash].total())
 
     def attempts_since(self, bucket: int) -> int:
         """Return the number of attempts of all hosts from a bucket on."""
@@ -246,6 +260,8 @@
         alive_ms = at_ms - MAX_WAITED_MS if answered_ms is None else answered_ms
         end = EndedAttempt(alive_ms, at_ms)
         known.add_crash(crash, end)
+        at_crash = known.at_crashes[crash][self._host] + 1
+        known.set_at_crash(crash, self._host, at_crash)
         self._changed = True
         for key in segments:
             item = self._suspect(key, service)
@@ -326,15 +342,25 @@
         for crash, end in service.crashes.items():
             if end.ended_ms >= started_ms and crash not in explained:
                 all_crashes[crash] = end
-        covered = item.crashes(0).keys() & all_crashes.keys()
-        covered_count = count_apart([all_crashes[crash] for crash in covered])
-        uncovered = [end for crash, end in all_crashes.items() if crash not in covered]
+        known = item.crashes(0)
+        covered = select_apart(
+            {crash: end for crash, end in all_crashes.items() if crash in known}
+        )
+        uncovered = select_apart(
+            {crash: end for crash, end in all_crashes.items() if crash not in known}
+        )
+        all_attempts = max(1, attempts, service.attempts_since(bucket))
         return Spectrum(
-            min(crashed, covered_count),
-            covered_count,
+            min(crashed, len(covered)),
+            len(covered),
             attempts,
-            covered_count + count_apart(uncovered),
-            max(0, service.attempts_since(bucket) - attempts),
+            len(covered) + len(uncovered),
+            all_attempts - attempts,
+            excess_at(
+                max(1, attempts) / all_attempts,
+                map(service.at_crash, covered),
+                map(service.at_crash, uncovered),
+            ),
         )
 
     def find_causes(self, known: Collection[int]) -> dict[int, Spectrum]:
@@ -412,8 +438,8 @@
             count.attempts = max(count.attempts, told.attempts)
             count.crashed = max(count.crashed, told.crashed)
             started_ms = told.bucket * BUCKET_MS
-            for crash, offset_ms, waited_ms in zip_longest(
-                told.crashes, told.offsets_ms, told.waited_ms
+            for crash, offset_ms, waited_ms, at_crash in zip_longest(
+                told.crashes, told.offsets_ms, told.waited_ms, told.at_crashes
             ):
                 if crash is None or offset_ms is None:
                     break
@@ -427,6 +453,7 @@
                 end = EndedAttempt(at_ms - waited_ms, at_ms)
                 _add_end(count.crashes, crash, end)
                 service.add_crash(crash, end)
+                service.set_at_crash(crash, told.host, at_crash or 1)
                 item.last_crash_ms = max(item.last_crash_ms, at_ms)
 
     def counts(self) -> list[SegmentRuns]:
@@ -475,8 +502,13 @@
             list(count.crashes),
             [max(0, end.ended_ms - started_ms) for end in count.crashes.values()],
             [_waited_ms(end) for end in count.crashes.values()],
+            [self._at_crash(service, crash, host) for crash in count.crashes],
         )
 
+    def _at_crash(self, service: int, crash: int, host: int) -> int:
+        counts = self._services[service].at_crashes.get(crash)
+        return counts[host] if counts is not None else 1
+
     def update(self) -> None:
         """Forget what is older than all windows; called periodically."""
         oldest = self._now_ms() // BUCKET_MS - max(WINDOWS)
--- a/tests/router/policy/test_crash.py
+++ b/tests/router/policy/test_crash.py
@@ -10,9 +10,9 @@
     MIN_REQUESTS,
     MIN_WAITING_REQUESTS,
     EndedAttempt,
-    count_apart,
     count_ends_in_turn,
     is_fatal,
+    select_apart,
 )
 
 
@@ -82,14 +82,14 @@
 class TestApart:
     def test_ends_within_a_moment_count_once(self) -> None:
         """Guards against a rack that loses its power and counts as many crashes."""
-        assert count_apart([EndedAttempt(0, at) for at in (10, 12, 20)]) == 1
+        assert select_apart({at: EndedAttempt(0, at) for at in (10, 12, 20)}) == [10]
 
     def test_one_that_was_alive_after_the_other_had_ended_counts(self) -> None:
         """Guards against endpoints that crash at once under a request that is sent on,
         and that count as one."""
-        ends = [EndedAttempt(0, 10), EndedAttempt(10, 60), EndedAttempt(60, 110)]
-        assert count_apart(reversed(ends)) == 3
+        ends = {at: EndedAttempt(at - 50, at) for at in (110, 60, 10)}
+        assert select_apart(ends) == [10, 60, 110]
 
     def test_ends_that_are_apart_count_each(self) -> None:
-        ends = [EndedAttempt(0, at * CRASH_SPACING_MS) for at in range(4)]
-        assert count_apart(ends) == 4
+        ends = {at: EndedAttempt(0, at * CRASH_SPACING_MS) for at in range(4)}
+        assert select_apart(ends) == [0, 1, 2, 3]
--- a/tests/router/policy/test_spectrum.py
+++ b/tests/router/policy/test_spectrum.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from hemlockhall_router.policy.spectrum import MIN_CRASHED, Spectrum, find_cause
+from hemlockhall_router.policy.spectrum import (
+    MIN_CRASHED,
+    MIN_EXCESS,
+    Spectrum,
+    excess_at,
+    find_cause,
+)
 
 # Segments of sound requests that were in flight at most of the same crashes.
 ALL = Spectrum(8, 8, 180, 8, 0)
@@ -48,6 +54,30 @@
     def test_there_is_none_without_crashes(self) -> None:
         assert find_cause([]) is None
 
+    def test_one_that_is_at_the_crashes_by_chance_is_not(self) -> None:
+        """Guards against blame for a popular segment when endpoints crash by themselves:
+        some request at each of them has it."""
+        third = Spectrum(9, 9, 86, 9, 194, excess_at(0.3, [8] * 9, []))
+        assert third.support > 6
+        assert find_cause([third]) is None
+
+
+class TestExcess:
+    def test_it_is_small_at_endpoints_with_many_attempts(self) -> None:
+        assert 0 <= excess_at(0.3, [10] * 10, []) < MIN_EXCESS
+
+    def test_it_grows_with_the_crashes_of_endpoints_with_few(self) -> None:
+        values = [excess_at(0.1, [3] * crashes, []) for crashes in range(1, 6)]
+        assert values == sorted(values)
+        assert values[-1] > MIN_EXCESS
+
+    def test_crashes_without_it_reduce_it(self) -> None:
+        at_all = excess_at(0.1, [3] * 8, [])
+        assert excess_at(0.1, [3] * 6, [3] * 2) < at_all
+
+    def test_a_segment_that_all_requests_have_gets_none(self) -> None:
+        assert excess_at(1.0, [3] * 8, []) == 0
+
 
 class TestSupport:
     def test_a_segment_that_all_requests_have_gets_none(self) -> None:
--- a/tests/router/test_late_crash.py
+++ b/tests/router/test_late_crash.py
@@ -153,3 +153,36 @@
                 "/draft/", seed, responds=responds, fatal_probability=probability
             )
         )
+
+
+class TestOtherCauses:
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize(("together", "pause_s"), [(1, 0.8), (5, 4.0)])
+    async def test_no_segment_is_refused(
+        self, together: int, pause_s: float, seed: int
+    ) -> None:
+        """Guards against blame for a segment when endpoints crash whatever they serve,
+        one by one or with their racks: some request at each of them has it."""
+        random.seed(seed)
+        async with router_harness(ROUTES, data_centre="place-0") as harness:
+            for number in range(1, HOSTS):
+                await harness.add_router(data_centre=f"place-{number % 3}")
+            pool = CrashingPool(
+                harness, event_count=STREAM_EVENTS, restart_s=(2.0, 4.0)
+            )
+            await pool.start(ENDPOINTS)
+            load = Load(harness, RESUMABLE)
+            harness.group.start_soon(load.run, SOUND_RATE)
+            harness.group.start_soon(load.run, FATAL_RATE, "rare")
+            await anyio.sleep(CALM_S)
+            deadline = time.monotonic() + FATAL_S
+            while time.monotonic() < deadline:
+                count = min(together, len(pool.endpoints))
+                for endpoint in random.sample(pool.endpoints, count):
+                    pool.crash(endpoint)
+                await anyio.sleep(random.expovariate(1 / pause_s))  # noqa: S311
+            verdicts = []
+            for router in harness.routers:
+                verdicts += router.quarantine.quarantined()
+        assert len(pool.crashes) >= CRASHES
+        assert not verdicts
