--- a/tests/router/policy/test_spectrum.py
+++ b/tests/router/policy/test_spectrum.py
@@ -55,7 +55,7 @@
         assert find_cause([]) is None
 
     def test_one_that_is_at_the_crashes_by_chance_is_not(self) -> None:
-        """Guards against blame for a popular segment when endpoints crash by themselves:
+        """Guards against blame for a popular segment when endpoints crash themselves:
         some request at each of them has it."""
         third = Spectrum(9, 9, 86, 9, 194, excess_at(0.3, [8] * 9, []))
         assert third.support > 6
