Weigh chance only for segments that explain the crashes

The integral over fractions ran for each of 128 segments, with up to 128 crashes in two windows, at each judgement, up to four times a second. Only a segment whose support reaches the lead that a cause must have can be one, or stand in the way of one, so the others need none.

--- a/packages/router/src/hemlockhall_router/process/spectrum.py
+++ b/packages/router/src/hemlockhall_router/process/spectrum.py
@@ -5,13 +5,18 @@
 import secrets
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Collection, Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import nsmallest
 from itertools import zip_longest
 
 from hemlockhall_router.membership.message import SegmentRuns
 from hemlockhall_router.policy.crash import EndedAttempt, select_apart
-from hemlockhall_router.policy.spectrum import Spectrum, excess_at, find_cause
+from hemlockhall_router.policy.spectrum import (
+    MIN_LEAD,
+    Spectrum,
+    excess_at,
+    find_cause,
+)
 
 # Attempts are counted in buckets of this length on the shared clock.
 BUCKET_MS = 10_000
@@ -350,18 +355,19 @@
             {crash: end for crash, end in all_crashes.items() if crash not in known}
         )
         all_attempts = max(1, attempts, service.attempts_since(bucket))
-        return Spectrum(
+        found = Spectrum(
             min(crashed, len(covered)),
             len(covered),
             attempts,
             len(covered) + len(uncovered),
             all_attempts - attempts,
-            excess_at(
-                max(1, attempts) / all_attempts,
-                map(service.at_crash, covered),
-                map(service.at_crash, uncovered),
-            ),
         )
+        if found.support < MIN_LEAD:
+            return found
+        share = max(1, attempts) / all_attempts
+        at_covered = map(service.at_crash, covered)
+        at_uncovered = map(service.at_crash, uncovered)
+        return replace(found, excess=excess_at(share, at_covered, at_uncovered))
 
     def find_causes(self, known: Collection[int]) -> dict[int, Spectrum]:
         """Return the segments that explain the crashes, of those under which one was.
