--- a/packages/router/src/hemlockhall_router/policy/spectrum.py
+++ b/packages/router/src/hemlockhall_router/policy/spectrum.py
@@ -20,7 +20,7 @@
 MIN_LEAD = math.log(10)
 # How much better than chance a segment must be at the crashes, as a logarithm: of many
 # attempts at an endpoint that crashes, one is likely to have a segment that is popular.
-MIN_EXCESS = math.log(2)
+MIN_EXCESS = math.log(1)
 # Steps of the integral over the fraction of crashes that a segment causes.
 STEPS = 32
 # Probability below which whole responses in a row contradict a blamed segment.
